--- /dev/null
+++ b/src/core/acceptor.cpp
@@ -0,0 +1,120 @@
+#include "core/acceptor.hpp"
+
+namespace weldsail {
+namespace {
+
+constexpr std::string_view promise_prefix = "promise/";
+constexpr std::string_view copy_prefix = "copy/";
+
+void wait_for_disk(AcceptorState& state, std::uint64_t target, wire::Envelope answer,
+                   std::vector<std::pair<std::string, std::string>> records, Effects& effects) {
+  const auto token = acceptor_tokens + state.next_token++;
+  state.waiting[token] = {target, std::move(answer)};
+  effects.push_back(Persist{token, std::move(records)});
+}
+
+std::pair<std::string, std::string> promise_record(const std::string& key, const DiskCopy& copy) {
+  return {std::string(promise_prefix) + key, std::to_string(copy.promised)};
+}
+
+std::pair<std::string, std::string> copy_record(const std::string& key, const DiskCopy& copy) {
+  wire::RegisterValue value;
+  value.set_key(key);
+  value.set_epoch(copy.accepted_epoch);
+  value.set_version(copy.version);
+  value.set_value(copy.value);
+  return {std::string(copy_prefix) + key, value.SerializeAsString()};
+}
+
+void take_prepare(AcceptorState& state, const MemberState& member, const wire::Envelope& envelope, Effects& effects) {
+  const auto& prepare = envelope.prepare();
+  auto& copy = state.copies[prepare.key()];
+  auto answer = member_envelope(member, envelope.from());
+  auto* promise = answer.mutable_promise();
+  promise->set_key(prepare.key());
+  promise->set_epoch(prepare.epoch());
+  promise->set_granted(prepare.epoch() > copy.promised);
+  if (promise->granted()) copy.promised = prepare.epoch();
+  promise->set_promised(copy.promised);
+  promise->set_accepted_epoch(copy.accepted_epoch);
+  promise->set_version(copy.version);
+  promise->set_value(copy.value);
+  if (!promise->granted()) {
+    member_send(member, envelope.from(), std::move(answer), effects);
+    return;
+  }
+  wait_for_disk(state, envelope.from(), std::move(answer), {promise_record(prepare.key(), copy)}, effects);
+}
+
+void take_accept(AcceptorState& state, const MemberState& member, const wire::Envelope& envelope, Effects& effects) {
+  const auto& accept = envelope.accept();
+  auto& copy = state.copies[accept.key()];
+  auto answer = member_envelope(member, envelope.from());
+  auto* accepted = answer.mutable_accepted();
+  accepted->set_key(accept.key());
+  accepted->set_epoch(accept.epoch());
+  accepted->set_version(accept.version());
+  if (accept.epoch() < copy.promised) {
+    accepted->set_granted(false);
+    accepted->set_promised(copy.promised);
+    member_send(member, envelope.from(), std::move(answer), effects);
+    return;
+  }
+  if (accept.epoch() == copy.accepted_epoch && accept.version() < copy.version) return;
+  copy.promised = accept.epoch();
+  copy.accepted_epoch = accept.epoch();
+  copy.version = accept.version();
+  copy.value = accept.value();
+  accepted->set_granted(true);
+  accepted->set_promised(copy.promised);
+  wait_for_disk(state, envelope.from(), std::move(answer),
+                {promise_record(accept.key(), copy), copy_record(accept.key(), copy)}, effects);
+}
+
+void take_check(const AcceptorState& state, const MemberState& member, const wire::Envelope& envelope,
+                Effects& effects) {
+  const auto& check = envelope.check();
+  const auto found = state.copies.find(check.key());
+  const auto promised = found == state.copies.end() ? 0 : found->second.promised;
+  auto answer = member_envelope(member, envelope.from());
+  auto* checked = answer.mutable_checked();
+  checked->set_key(check.key());
+  checked->set_epoch(check.epoch());
+  checked->set_round(check.round());
+  checked->set_granted(promised <= check.epoch());
+  checked->set_promised(promised);
+  member_send(member, envelope.from(), std::move(answer), effects);
+}
+
+}  // namespace
+
+void acceptor_start(AcceptorState& state, const Records& records) {
+  for (const auto& [name, bytes] : records) {
+    if (name.starts_with(promise_prefix))
+      state.copies[name.substr(promise_prefix.size())].promised = std::stoull(bytes);
+    if (!name.starts_with(copy_prefix)) continue;
+    wire::RegisterValue value;
+    if (!value.ParseFromString(bytes)) continue;
+    auto& copy = state.copies[value.key()];
+    copy.accepted_epoch = value.epoch();
+    copy.version = value.version();
+    copy.value = value.value();
+  }
+}
+
+void acceptor_receive(AcceptorState& state, const MemberState& member, const wire::Envelope& envelope,
+                      Effects& effects) {
+  if (envelope.has_prepare()) take_prepare(state, member, envelope, effects);
+  if (envelope.has_accept()) take_accept(state, member, envelope, effects);
+  if (envelope.has_check()) take_check(state, member, envelope, effects);
+}
+
+void acceptor_persisted(AcceptorState& state, const MemberState& member, const Persisted& event, Effects& effects) {
+  const auto found = state.waiting.find(event.token);
+  if (found == state.waiting.end()) return;
+  auto [target, answer] = std::move(found->second);
+  state.waiting.erase(found);
+  if (event.kept) member_send(member, target, std::move(answer), effects);
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/acceptor.hpp
@@ -0,0 +1,31 @@
+#pragma once
+#include "core/member.hpp"
+
+namespace weldsail {
+
+/// What one core disk remembers of a key.
+struct DiskCopy {
+  std::uint64_t promised = 0;
+  std::uint64_t accepted_epoch = 0;
+  std::uint64_t version = 0;
+  std::string value;
+};
+
+/// The disk side of the registers: answers only after the disk has synced.
+struct AcceptorState {
+  std::map<std::string, DiskCopy> copies;
+  std::map<std::uint64_t, std::pair<std::uint64_t, wire::Envelope>> waiting;
+  std::uint64_t next_token = 0;
+};
+
+void acceptor_start(AcceptorState& state, const Records& records);
+/// Takes prepare, accept or check; the answer goes out once it is durable.
+void acceptor_receive(AcceptorState& state, const MemberState& member, const wire::Envelope& envelope,
+                      Effects& effects);
+/// Sends the answers that waited for the disk; a failed sync gives none.
+void acceptor_persisted(AcceptorState& state, const MemberState& member, const Persisted& event, Effects& effects);
+
+/// Prefix of the tokens that belong to the acceptor.
+inline constexpr std::uint64_t acceptor_tokens = 1ULL << 40U;
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/carry.cpp
@@ -0,0 +1,232 @@
+#include <algorithm>
+
+#include "core/data.hpp"
+#include "core/json.hpp"
+
+namespace weldsail {
+namespace {
+
+std::string budget_name(const Carry& carry) {
+  return carry.route.kind == RouteKind::call ? carry.cell + "/" + carry.route.service : carry.pool;
+}
+
+CarryCounter& counter_of(DataState& state, const Carry& carry) {
+  return state.counters[carry.pool][carry.ledger.attempts.back().worker];
+}
+
+void stop_running(DataState& state, Carry& carry, Moment now) {
+  const auto& attempt = carry.ledger.attempts.back();
+  state.pipes.erase(attempt.pipe);
+  auto& count = state.running[attempt.worker];
+  if (count > 0) --count;
+  auto& pool = state.pools[carry.pool];
+  if (pool.running > 0) --pool.running;
+  pool.last_used = now;
+}
+
+void end_attempt(DataState& state, Carry& carry, AttemptPhase phase, const std::string& reason, bool cancel, Moment now,
+                 Effects& effects) {
+  if (!ledger_open(carry.ledger)) return;
+  const auto attempt = carry.ledger.attempts.back();
+  if (cancel) effects.push_back(CancelPipe{attempt.pipe});
+  stop_running(state, carry, now);
+  ledger_end(carry.ledger, phase, reason);
+  if (phase == AttemptPhase::whole) return;
+  note(effects, "attempt.breakdown",
+       {{"run", carry.run}, {"worker", attempt.worker}, {"reason", reason},
+        {"certain", phase == AttemptPhase::refused || phase == AttemptPhase::unsent ? "true" : "false"}});
+  if (phase == AttemptPhase::unsent || phase == AttemptPhase::broken) watch_broken(state.watch, attempt.worker);
+}
+
+void begin_answer(Carry& carry, Effects& effects) {
+  if (carry.ledger.answer_begun) return;
+  carry.ledger.answer_begun = true;
+  effects.push_back(AnswerHead{carry.request, 200,
+                               {{"content-type", "text/event-stream"}, {"weldsail-request", carry.caller_id}}});
+}
+
+void take_stream(DataState& state, Carry& carry, const std::string& bytes, Moment now, Effects& effects) {
+  for (const auto& event : stream_feed(carry.reader, bytes)) {
+    if (event.sign == StreamSign::broken) {
+      end_attempt(state, carry, AttemptPhase::broken, event.reason, true, now, effects);
+      return;
+    }
+    begin_answer(carry, effects);
+    effects.push_back(AnswerBytes{carry.request, event.raw + "\n\n"});
+    if (event.sign == StreamSign::final_piece) {
+      end_attempt(state, carry, AttemptPhase::whole, "final", false, now, effects);
+      return;
+    }
+    auto& counter = counter_of(state, carry);
+    counter.generated_tokens += event.tokens;
+    if (carry.last_piece == 0)
+      counter.first_token.add(static_cast<double>(now - carry.ledger.attempts.back().begun));
+    else
+      counter.inter_token.add(static_cast<double>(now - carry.last_piece));
+    carry.last_piece = now;
+    carry.ledger.next_piece = carry.reader.next_piece;
+  }
+}
+
+void take_end(DataState& state, Carry& carry, const PipeEnded& event, Moment now, Effects& effects) {
+  const bool call = carry.route.kind == RouteKind::call;
+  auto phase = AttemptPhase::broken;
+  auto reason = event.reason.empty() ? std::string("ended early") : event.reason;
+  if (event.whole && carry.refused) {
+    phase = AttemptPhase::refused;
+    reason = "refused " + std::to_string(carry.status);
+  } else if (!event.sent) {
+    phase = AttemptPhase::unsent;
+  } else if (event.whole && call && carry.status != 0) {
+    phase = AttemptPhase::whole;
+  } else if (event.whole && !call && carry.status >= 400 && carry.status < 500) {
+    phase = AttemptPhase::whole;
+  }
+  end_attempt(state, carry, phase, reason, false, now, effects);
+}
+
+void open_run(DataState& state, Carry& carry, const WorkerView& view, Moment now, Effects& effects) {
+  const bool call = carry.route.kind == RouteKind::call;
+  const auto pipe = state.numbers.take();
+  auto& budget = state.budgets[budget_name(carry)];
+  if (carry.ledger.attempts.empty()) {
+    budget_earn(budget);
+  } else {
+    budget_spend(budget);
+    ++state.totals.retries;
+  }
+  ledger_begin(carry.ledger, view.address, pipe, now);
+  state.pipes[pipe] = carry.request;
+  ++state.running[view.address];
+  ++state.pools[carry.pool].running;
+  carry.status = 0;
+  carry.refused = false;
+  carry.answer.clear();
+  carry.headers.clear();
+  carry.reader = {carry.run, carry.ledger.next_piece, {}, false};
+  std::vector<Header> headers{{"content-type", "application/json"},  {"weldsail-run", carry.run},
+                              {"weldsail-instance", view.status->instance}, {"weldsail-service", view.service}};
+  if (!call) {
+    headers.push_back({"weldsail-model", carry.route.model});
+    if (!carry.route.adapter.empty()) headers.push_back({"weldsail-adapter", carry.route.adapter});
+    headers.push_back({"weldsail-resume", std::to_string(carry.ledger.next_piece)});
+    const auto missed = missed_tokens(state, carry, view.address);
+    state.totals.prompt_tokens += carry.prompt_tokens;
+    state.totals.hit_tokens += carry.prompt_tokens - missed;
+    counter_of(state, carry).missed_tokens += missed;
+    prefix_remember(state.prefixes[view.address], carry.blocks);
+  }
+  effects.push_back(OpenPipe{pipe, view.address, "POST", "/v1/run", std::move(headers), carry.body, call,
+                             carry.ledger.due + state.options.member.bound});
+}
+
+void finish(DataState& state, Carry& carry, Effects& effects) {
+  ++state.totals.finished;
+  if (carry.ledger.answer_begun) {
+    effects.push_back(AnswerEnd{carry.request, true});
+    return;
+  }
+  auto headers = carry.headers;
+  headers.push_back({"weldsail-request", carry.caller_id});
+  effects.push_back(Answer{carry.request, carry.status, std::move(headers), carry.answer});
+}
+
+void end_in_error(DataState& state, const Carry& carry, Effects& effects) {
+  ++state.totals.streams_broken;
+  JsonText text;
+  text.object().key("error").object().field("code", "stream_broken").field("outcome", "unknown").close();
+  text.number("pieces", carry.ledger.next_piece).close();
+  effects.push_back(AnswerBytes{carry.request, "data: " + text.text() + "\n\n"});
+  effects.push_back(AnswerEnd{carry.request, true});
+}
+
+}  // namespace
+
+void refuse_caller(std::uint64_t request, int status, const std::string& code, const std::string& outcome,
+                   int retry_after, Effects& effects) {
+  JsonText text;
+  text.object().field("code", code).field("outcome", outcome).close();
+  std::vector<Header> headers{{"content-type", "application/json"}};
+  if (retry_after > 0) headers.push_back({"retry-after", std::to_string(retry_after)});
+  effects.push_back(Answer{request, status, std::move(headers), text.text()});
+}
+
+void carry_drop(DataState& state, std::uint64_t request, Moment now, Effects& effects) {
+  const auto found = state.carries.find(request);
+  if (found == state.carries.end()) return;
+  auto& carry = found->second;
+  end_attempt(state, carry, AttemptPhase::broken, "dropped", true, now, effects);
+  const auto name = carry.pool;
+  std::erase(state.pools[name].waiting, request);
+  state.carries.erase(found);
+}
+
+void carry_move(DataState& state, std::uint64_t request, Moment now, Effects& effects) {
+  const auto found = state.carries.find(request);
+  if (found == state.carries.end()) return;
+  auto& carry = found->second;
+  const bool allowed = budget_allows(state.budgets[budget_name(carry)]);
+  const auto move = ledger_next(carry.ledger, allowed, now);
+  if (move == Move::wait) return;
+  if (move == Move::assign) {
+    const auto* view = assign_worker(state, carry, now);
+    auto& waiting = state.pools[carry.pool].waiting;
+    const auto place = std::ranges::find(waiting, request);
+    if (view == nullptr) {
+      if (place == waiting.end()) waiting.push_back(request);
+      return;
+    }
+    if (place != waiting.end()) waiting.erase(place);
+    open_run(state, carry, *view, now, effects);
+    return;
+  }
+  const auto& reason = carry.ledger.attempts.empty() ? std::string("held") : carry.ledger.attempts.back().reason;
+  if (move == Move::finish) finish(state, carry, effects);
+  if (move == Move::end_in_error) end_in_error(state, carry, effects);
+  if (move == Move::give_up_not_run) {
+    ++state.totals.not_run;
+    refuse_caller(request, 503, carry.ledger.attempts.empty() ? "no_worker_ready" : "worker_broke_down", "not_run", 2,
+                  effects);
+  }
+  if (move == Move::give_up_unknown) {
+    ++state.totals.unknown;
+    refuse_caller(request, 502, "worker_broke_down", "unknown", 0, effects);
+  }
+  if (move != Move::finish) note(effects, "carry.given_up", {{"run", carry.run}, {"reason", reason}});
+  carry_drop(state, request, now, effects);
+}
+
+void carry_gone(DataState& state, std::uint64_t request, Effects& effects) {
+  if (!state.carries.contains(request)) return;
+  ++state.totals.gone;
+  carry_drop(state, request, state.carries.at(request).arrived, effects);
+}
+
+void carry_pipe(DataState& state, const Event& event, Moment now, Effects& effects) {
+  const auto find = [&](std::uint64_t pipe) -> Carry* {
+    const auto found = state.pipes.find(pipe);
+    return found == state.pipes.end() ? nullptr : &state.carries.at(found->second);
+  };
+  Carry* carry = nullptr;
+  if (const auto* head = std::get_if<PipeHead>(&event); head != nullptr && (carry = find(head->pipe)) != nullptr) {
+    carry->status = head->status;
+    carry->refused = head->status >= 400 && !header_value(head->headers, "weldsail-not-run").empty();
+    for (const auto& header : head->headers)
+      if (header.name == "content-type") carry->headers.push_back(header);
+    return;
+  }
+  if (const auto* bytes = std::get_if<PipeBytes>(&event); bytes != nullptr && (carry = find(bytes->pipe)) != nullptr) {
+    if (carry->route.kind == RouteKind::call || carry->status != 200)
+      carry->answer += bytes->bytes;
+    else
+      take_stream(state, *carry, bytes->bytes, now, effects);
+  }
+  if (const auto* ended = std::get_if<PipeEnded>(&event); ended != nullptr && (carry = find(ended->pipe)) != nullptr)
+    take_end(state, *carry, *ended, now, effects);
+  if (carry == nullptr) return;
+  const auto pool = carry->pool;
+  carry_move(state, carry->request, now, effects);
+  pool_dispatch(state, pool, now, effects);
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/configduty.cpp
@@ -0,0 +1,181 @@
+#include "core/configduty.hpp"
+
+#include <charconv>
+
+#include "core/config.hpp"
+#include "core/json.hpp"
+#include "core/rendezvous.hpp"
+
+namespace weldsail {
+namespace {
+
+constexpr int history_limit = 256;
+
+const wire::Change* find_change(const wire::ConfigValue& value, const std::string& change) {
+  for (const auto& item : value.history())
+    if (item.id() == change) return &item;
+  return nullptr;
+}
+
+std::string accepted_text(const wire::Change& change) {
+  JsonText text;
+  text.object().field("outcome", "accepted").number("version", change.version()).field("change", change.id()).close();
+  return text.text();
+}
+
+std::string conflict_text(const ConfigJob& job, std::uint64_t newest) {
+  JsonText text;
+  text.object().field("code", "conflict").field("outcome", "refused").number("newest", newest);
+  text.field("change", job.operation.change()).close();
+  return text.text();
+}
+
+std::string faults_text(const std::vector<Fault>& faults, const std::string& change) {
+  JsonText text;
+  text.object().field("code", "invalid").field("outcome", "refused").field("change", change).key("faults").array();
+  for (const auto& fault : faults)
+    text.object().field("pointer", fault.pointer).field("message", fault.message).close();
+  text.end().close();
+  return text.text();
+}
+
+std::string history_text(const wire::ConfigValue& value) {
+  JsonText text;
+  text.object().number("version", value.version()).key("history").array();
+  for (const auto& change : value.history()) {
+    text.object().number("version", change.version()).field("change", change.id());
+    text.field("digest", change.digest()).number("bytes", change.bytes()).close();
+  }
+  text.end().close();
+  return text.text();
+}
+
+std::optional<std::uint64_t> read_base(const std::string& base) {
+  std::uint64_t number = 0;
+  const auto read = std::from_chars(base.data(), base.data() + base.size(), number);
+  if (read.ec != std::errc() || read.ptr != base.data() + base.size()) return std::nullopt;
+  return number;
+}
+
+void answer_read(const ConfigDutyState& state, const MemberState& member, const ConfigJob& job, Effects& effects) {
+  const auto& path = job.operation.path();
+  const auto version = std::to_string(state.current.version());
+  static const std::string changes = "/v1/config/changes/";
+  if (path == "/v1/config") {
+    if (state.current.version() == 0)
+      operate_refuse(member, job.asker, 404, "no_configuration", "refused", {}, effects);
+    else
+      operate_answer(member, job.asker, 200, state.current.document(), effects, version);
+  } else if (path == "/v1/config/history") {
+    operate_answer(member, job.asker, 200, history_text(state.current), effects, version);
+  } else if (path.starts_with(changes)) {
+    const auto* found = find_change(state.current, path.substr(changes.size()));
+    if (found != nullptr)
+      operate_answer(member, job.asker, 200, accepted_text(*found), effects, version);
+    else
+      operate_refuse(member, job.asker, 404, "not_seen", "unknown", path.substr(changes.size()), effects);
+  } else {
+    operate_refuse(member, job.asker, 404, "no_such_path", "refused", {}, effects);
+  }
+}
+
+bool changes_path(const wire::Operate& operation) {
+  return (operation.method() == "PUT" && operation.path() == "/v1/config") ||
+         (operation.method() == "POST" && operation.path() == "/v1/config/change");
+}
+
+void begin_change(ConfigDutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
+                  ConfigJob job, Moment now, Effects& effects) {
+  const auto& operation = job.operation;
+  if (const auto* known = find_change(state.current, operation.change())) {
+    operate_answer(member, job.asker, 200, accepted_text(*known), effects, std::to_string(known->version()));
+    return;
+  }
+  const auto base = read_base(operation.base());
+  if (!base) {
+    operate_refuse(member, job.asker, 400, "base_missing", "refused", operation.change(), effects);
+    return;
+  }
+  if (*base != state.current.version()) {
+    operate_answer(member, job.asker, 409, conflict_text(job, state.current.version()), effects,
+                   std::to_string(state.current.version()));
+    return;
+  }
+  auto document = operation.body();
+  if (operation.method() == "POST") {
+    auto changed = change_config(state.current.document(), operation.body());
+    if (!changed) {
+      operate_answer(member, job.asker, 422, faults_text(changed.error(), operation.change()), effects);
+      return;
+    }
+    document = std::move(*changed);
+  }
+  const auto read = read_config(document);
+  if (!read.faults.empty()) {
+    operate_answer(member, job.asker, 422, faults_text(read.faults, operation.change()), effects);
+    return;
+  }
+  auto next = state.current;
+  next.set_version(owner.version + 1);
+  next.set_document(document);
+  auto* change = next.add_history();
+  change->set_id(operation.change());
+  change->set_version(next.version());
+  change->set_digest(std::to_string(digest(document)));
+  change->set_bytes(document.size());
+  if (next.history_size() > history_limit) next.mutable_history()->DeleteSubrange(0, 1);
+  note(effects, "config.propose",
+       {{"version", std::to_string(next.version())}, {"change", operation.change()}});
+  register_propose(owner, member, core, next.SerializeAsString(), now, effects);
+  state.under_way = std::move(job);
+}
+
+}  // namespace
+
+void config_held(ConfigDutyState& state, const RegisterState& owner) {
+  state.current.Clear();
+  state.current.ParseFromString(owner.value);
+}
+
+void config_take(ConfigDutyState& state, ConfigJob job) {
+  (changes_path(job.operation) ? state.changes : state.reads).push_back(std::move(job));
+}
+
+void config_tick(ConfigDutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
+                 Moment now, Effects& effects) {
+  if (owner.phase != OwnerPhase::holding) return;
+  while (!state.changes.empty() && !owner.proposal) {
+    auto job = std::move(state.changes.front());
+    state.changes.pop_front();
+    begin_change(state, member, core, owner, std::move(job), now, effects);
+  }
+  while (!state.reads.empty() && owner.confirmed >= state.reads.front().arrived) {
+    answer_read(state, member, state.reads.front(), effects);
+    state.reads.pop_front();
+  }
+}
+
+void config_committed(ConfigDutyState& state, const MemberState& member, const RegisterState& owner,
+                      Effects& effects) {
+  config_held(state, owner);
+  note(effects, "config.accepted", {{"version", std::to_string(state.current.version())}});
+  if (!state.under_way) return;
+  if (const auto* change = find_change(state.current, state.under_way->operation.change()))
+    operate_answer(member, state.under_way->asker, 200, accepted_text(*change), effects,
+                   std::to_string(change->version()));
+  state.under_way.reset();
+}
+
+void config_lost(ConfigDutyState& state, const MemberState& member, Effects& effects) {
+  if (state.under_way)
+    operate_refuse(member, state.under_way->asker, 504, "owner_lost", "unknown", state.under_way->operation.change(),
+                   effects);
+  state.under_way.reset();
+  for (const auto& job : state.changes)
+    operate_refuse(member, job.asker, 503, "owner_lost", "refused", job.operation.change(), effects);
+  for (const auto& job : state.reads) operate_refuse(member, job.asker, 503, "owner_lost", "refused", {}, effects);
+  state.changes.clear();
+  state.reads.clear();
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/configduty.hpp
@@ -0,0 +1,35 @@
+#pragma once
+#include <deque>
+
+#include "core/operate.hpp"
+
+namespace weldsail {
+
+/// An operation on the configuration that waits for its turn.
+struct ConfigJob {
+  Asker asker;
+  wire::Operate operation;
+  Moment arrived = 0;
+};
+
+/// The configuration owner's state.
+struct ConfigDutyState {
+  std::deque<ConfigJob> changes;
+  std::deque<ConfigJob> reads;
+  std::optional<ConfigJob> under_way;
+  wire::ConfigValue current;
+};
+
+/// Takes the value that the owner holds now.
+void config_held(ConfigDutyState& state, const RegisterState& owner);
+void config_take(ConfigDutyState& state, ConfigJob job);
+/// Moves waiting reads and changes on where they can be.
+void config_tick(ConfigDutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
+                 Moment now, Effects& effects);
+/// A change has its majority.
+void config_committed(ConfigDutyState& state, const MemberState& member, const RegisterState& owner,
+                      Effects& effects);
+/// The key is lost: the change under way is unknown, all others never took effect.
+void config_lost(ConfigDutyState& state, const MemberState& member, Effects& effects);
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/control.hpp
@@ -0,0 +1,48 @@
+#pragma once
+#include "core/configduty.hpp"
+#include "core/news.hpp"
+#include "core/steward.hpp"
+
+namespace weldsail {
+
+/// What a control-plane process is told at its start.
+struct ControlOptions {
+  MemberOptions member;
+  std::uint32_t core_size = 3;
+  bool has_disk = true;
+  std::string platform;
+  Moment platform_pace = 5000;
+};
+
+/// A control-plane process.
+struct ControlState {
+  ControlOptions options;
+  MemberState member;
+  AcceptorState acceptor;
+  FormationState formation;
+  DutyState duty;
+  NewsState news;
+  OperateState operate;
+  ConfigDutyState config_duty;
+  StewardState steward;
+  std::map<std::string, RegisterState> owners;
+  std::optional<ConfigDocument> document;
+  std::uint64_t document_version = 0;
+  std::deque<std::pair<Asker, std::pair<std::string, bool>>> drains;
+  std::optional<Asker> drain_under_way;
+  PipeNumbers numbers;
+  std::uint64_t random = 0;
+  Moment leave_due = 0;
+};
+
+ControlState make_control(const ControlOptions& options);
+/// One step of a control-plane process.
+Effects reduce(ControlState& state, const Event& event, Moment now);
+/// The process's status document.
+std::string control_status_text(const ControlState& state, Moment now);
+
+/// Answers an operator's question about workers, placements or holds, or takes a drain.
+void control_operate_placement(ControlState& state, const Asker& asker, const wire::Operate& operation, Moment now,
+                               Effects& effects);
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/data.cpp
@@ -0,0 +1,133 @@
+#include "core/data.hpp"
+
+#include <algorithm>
+
+namespace weldsail {
+namespace {
+
+void use_news(DataState& state, Effects& effects) {
+  const auto config = state.news.values.find(config_key);
+  if (config != state.news.values.end() && config->second.version() > state.document_version) {
+    wire::ConfigValue value;
+    if (value.ParseFromString(config->second.value())) {
+      auto read = read_config(value.document());
+      if (read.faults.empty()) {
+        state.document = std::move(read.document);
+        state.document_version = config->second.version();
+        note(effects, "config.in_force", {{"version", std::to_string(state.document_version)}});
+      }
+    }
+  }
+  const auto placement = state.news.values.find(placement_key);
+  if (placement == state.news.values.end() || placement->second.version() <= state.placement_version) return;
+  wire::Placement value;
+  if (!value.ParseFromString(placement->second.value())) return;
+  state.placement = std::move(value);
+  state.placement_version = placement->second.version();
+  std::map<std::string, std::string> services;
+  for (const auto& record : state.placement.workers()) services[record.address()] = record.service();
+  watch_set(state.watch, services, effects);
+}
+
+void on_message(DataState& state, const wire::Envelope& envelope, Moment now, Effects& effects) {
+  const auto own = state.member.self.cluster();
+  if (own != 0 && envelope.cluster() != 0 && own != envelope.cluster()) return;
+  if (envelope.to() != 0 && envelope.to() != state.member.self.node()) return;
+  if (envelope.has_ping()) {
+    member_receive(state.member, envelope, news_known(state.news), now, effects);
+    news_heard(state.news, state.member, envelope, effects);
+  }
+  if (envelope.has_news()) {
+    state.news.asked.erase(envelope.from());
+    formation_learn(state.formation, state.member, envelope.news().core(), effects);
+    for (const auto& value : envelope.news().values())
+      news_learn(state.news, state.member, state.formation.core, value, effects);
+    use_news(state, effects);
+  }
+  if (envelope.has_operated()) operate_answered(state.operate, envelope, effects);
+  if (envelope.has_counter_ask())
+    report_counters(state, envelope.from(), envelope.address(), envelope.counter_ask().round(), now, effects);
+}
+
+void on_request(DataState& state, const RequestArrived& event, Moment now, Effects& effects) {
+  if (!operate_path(event.path)) {
+    data_take(state, event, now, effects);
+    return;
+  }
+  const Asker asker{event.request, 0, {}};
+  auto operation = operate_read(event, state.random);
+  if (operate_local(state.member, operation, data_status_text(state, now), asker, effects)) return;
+  const auto key = operate_key(operation.path());
+  operate_forward(state.operate, state.member, std::move(operation), *key, event.request, now, effects);
+}
+
+void on_tick(DataState& state, const Ticked& event, Moment now, Effects& effects) {
+  state.random = event.random;
+  const auto known = news_known(state.news);
+  member_tick(state.member, known, now, effects);
+  news_tick(state.news, state.member, now, effects);
+  operate_tick(state.operate, state.member, now, effects);
+  watch_tick(state.watch, state.numbers, now, effects);
+  std::vector<std::uint64_t> late;
+  for (const auto& [request, carry] : state.carries)
+    if (now >= carry.ledger.due || (now >= carry.ledger.hold_due && !ledger_open(carry.ledger)))
+      late.push_back(request);
+  for (const auto request : late) carry_move(state, request, now, effects);
+  std::vector<std::string> names;
+  for (const auto& [name, pool] : state.pools)
+    if (!pool.waiting.empty()) names.push_back(name);
+  for (const auto& name : names) pool_dispatch(state, name, now, effects);
+  report_tick(state, now, effects);
+  if (state.leave_due == 0) return;
+  if (state.carries.empty() || now >= state.leave_due) effects.push_back(Depart{});
+}
+
+void on_leave(DataState& state, Moment now, Effects& effects) {
+  if (state.member.leaving) return;
+  member_leave(state.member, news_known(state.news), effects);
+  state.leave_due = now + state.options.leave_limit;
+  std::vector<std::uint64_t> held;
+  for (auto& [request, carry] : state.carries)
+    if (!ledger_open(carry.ledger)) held.push_back(request);
+  for (const auto request : held) {
+    ++state.totals.not_run;
+    const bool ran = ledger_may_have_run(state.carries.at(request).ledger);
+    if (!state.carries.at(request).ledger.answer_begun)
+      refuse_caller(request, ran ? 502 : 503, "leaving", ran ? "unknown" : "not_run", 1, effects);
+    else
+      effects.push_back(AnswerEnd{request, false});
+    carry_drop(state, request, now, effects);
+  }
+}
+
+}  // namespace
+
+DataState make_data(const DataOptions& options) {
+  DataState state;
+  state.options = options;
+  state.member.options = options.member;
+  state.member.options.program = Program::data;
+  const auto bound = options.member.bound;
+  state.news.bound = state.operate.bound = state.watch.bound = bound;
+  return state;
+}
+
+Effects reduce(DataState& state, const Event& event, Moment now) {
+  Effects effects;
+  if (const auto* started = std::get_if<Started>(&event)) {
+    state.random = started->random;
+    member_start(state.member, started->random, 0, now);
+  }
+  if (const auto* ticked = std::get_if<Ticked>(&event)) on_tick(state, *ticked, now, effects);
+  if (const auto* message = std::get_if<MessageArrived>(&event)) on_message(state, message->envelope, now, effects);
+  if (const auto* request = std::get_if<RequestArrived>(&event)) on_request(state, *request, now, effects);
+  if (const auto* gone = std::get_if<RequestGone>(&event)) carry_gone(state, gone->request, effects);
+  if (std::holds_alternative<Leaving>(event)) on_leave(state, now, effects);
+  if (const auto heard = watch_pipe(state.watch, event, effects)) {
+    for (auto& [name, pool] : state.pools) pool_dispatch(state, name, now, effects);
+  }
+  carry_pipe(state, event, now, effects);
+  return effects;
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/data.hpp
@@ -0,0 +1,127 @@
+#pragma once
+#include "core/attempt.hpp"
+#include "core/budget.hpp"
+#include "core/news.hpp"
+#include "core/operate.hpp"
+#include "core/prefix.hpp"
+#include "core/scaler.hpp"
+#include "core/stream.hpp"
+#include "core/worker.hpp"
+
+namespace weldsail {
+
+/// What a data-plane process is told at its start.
+struct DataOptions {
+  MemberOptions member;
+  std::size_t backlog_limit = 256;
+  std::size_t body_limit = 1U << 20U;
+  Moment hold_limit = 60000;
+  Moment leave_limit = 10000;
+};
+
+/// A caller's request in this node.
+struct Carry {
+  std::uint64_t request = 0;
+  std::string caller_id;
+  std::string run;
+  std::string tenant;
+  std::string cell;
+  std::string pool;
+  RouteOptions route;
+  std::string body;
+  std::uint64_t prompt_tokens = 0;
+  std::uint64_t generation_tokens = 0;
+  std::vector<std::uint64_t> blocks;
+  Moment arrived = 0;
+  Ledger ledger;
+  StreamReader reader;
+  int status = 0;
+  bool refused = false;
+  std::vector<Header> headers;
+  std::string answer;
+  Moment last_piece = 0;
+};
+
+/// What was counted for one unit on one worker, since this process began.
+struct CarryCounter {
+  std::uint64_t missed_tokens = 0;
+  std::uint64_t generated_tokens = 0;
+  Latencies first_token;
+  Latencies inter_token;
+};
+
+/// Requests of one unit or call service that wait for a worker.
+struct Pool {
+  std::deque<std::uint64_t> waiting;
+  std::uint64_t running = 0;
+  Moment last_used = 0;
+  std::map<std::string, Moment> adapters;
+};
+
+/// Totals that the status document shows.
+struct Totals {
+  std::uint64_t taken = 0;
+  std::uint64_t finished = 0;
+  std::uint64_t not_run = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t streams_broken = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t gone = 0;
+  std::uint64_t prompt_tokens = 0;
+  std::uint64_t hit_tokens = 0;
+};
+
+/// A data-plane process.
+struct DataState {
+  DataOptions options;
+  MemberState member;
+  FormationState formation;
+  NewsState news;
+  OperateState operate;
+  std::optional<ConfigDocument> document;
+  std::uint64_t document_version = 0;
+  wire::Placement placement;
+  std::uint64_t placement_version = 0;
+  WorkerWatch watch;
+  PipeNumbers numbers;
+  std::map<std::uint64_t, Carry> carries;
+  std::map<std::uint64_t, std::uint64_t> pipes;
+  std::map<std::string, Pool> pools;
+  std::map<std::string, Budget> budgets;
+  std::map<std::string, std::uint64_t> running;
+  std::map<std::string, PrefixMemory> prefixes;
+  std::map<std::string, std::map<std::string, CarryCounter>> counters;
+  Totals totals;
+  Moment next_report = 0;
+  Moment leave_due = 0;
+  std::uint64_t random = 0;
+};
+
+DataState make_data(const DataOptions& options);
+/// One step of a data-plane process.
+Effects reduce(DataState& state, const Event& event, Moment now);
+std::string data_status_text(const DataState& state, Moment now);
+
+/// Takes a caller's request or answers it at once.
+void data_take(DataState& state, const RequestArrived& event, Moment now, Effects& effects);
+/// Moves a request on as its ledger says.
+void carry_move(DataState& state, std::uint64_t request, Moment now, Effects& effects);
+void carry_pipe(DataState& state, const Event& event, Moment now, Effects& effects);
+void carry_gone(DataState& state, std::uint64_t request, Effects& effects);
+/// Gives waiting requests of a pool to workers, in order.
+void pool_dispatch(DataState& state, const std::string& pool, Moment now, Effects& effects);
+/// A worker for the request now, or nothing.
+const WorkerView* assign_worker(const DataState& state, const Carry& carry, Moment now);
+/// Prompt tokens that the worker would have to compute.
+std::uint64_t missed_tokens(const DataState& state, const Carry& carry, const std::string& worker);
+/// Sends counters and backlogs to whom they are for.
+void report_counters(const DataState& state, std::uint64_t node, const std::string& address, std::uint64_t round,
+                     Moment now, Effects& effects);
+void report_tick(DataState& state, Moment now, Effects& effects);
+/// Drops a request that has its final answer.
+void carry_drop(DataState& state, std::uint64_t request, Moment now, Effects& effects);
+/// Answers with an error document.
+void refuse_caller(std::uint64_t request, int status, const std::string& code, const std::string& outcome,
+                   int retry_after, Effects& effects);
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/demand.cpp
@@ -0,0 +1,152 @@
+#include "core/demand.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace weldsail {
+namespace {
+
+std::string counter_key(const wire::Counter& counter) { return counter.unit() + "|" + counter.worker(); }
+
+bool fallen(const wire::Histogram& before, const wire::Histogram& after) { return after.count() < before.count(); }
+
+bool fallen(const wire::Counter& before, const wire::Counter& after) {
+  return after.missed_tokens() < before.missed_tokens() || after.generated_tokens() < before.generated_tokens() ||
+         fallen(before.first_token(), after.first_token()) || fallen(before.inter_token(), after.inter_token());
+}
+
+void add_delta(Latencies& latencies, const wire::Histogram& before, const wire::Histogram& after) {
+  Latencies delta;
+  for (int place = 0; place < after.counts_size() && place < static_cast<int>(delta.counts.size()); ++place) {
+    const auto old = place < before.counts_size() ? before.counts(place) : 0;
+    if (after.counts(place) > old) delta.counts[static_cast<std::size_t>(place)] = after.counts(place) - old;
+  }
+  delta.sum = after.sum() - before.sum();
+  delta.count = after.count() - before.count();
+  latencies.add(delta);
+}
+
+void add_counter(UnitSample& sample, const wire::Counter& before, const wire::Counter& after) {
+  sample.missed_tokens += static_cast<double>(after.missed_tokens() - before.missed_tokens());
+  sample.generated_tokens += static_cast<double>(after.generated_tokens() - before.generated_tokens());
+  add_delta(sample.first_token, before.first_token(), after.first_token());
+  add_delta(sample.inter_token, before.inter_token(), after.inter_token());
+}
+
+struct SampledWorkers {
+  std::map<std::string, std::set<std::string>> by_role;
+  bool take(const std::string& role, const std::string& worker, std::uint64_t limit) {
+    auto& workers = by_role[role];
+    if (workers.contains(worker)) return true;
+    if (workers.size() >= limit) return false;
+    workers.insert(worker);
+    return true;
+  }
+};
+
+}  // namespace
+
+void demand_ask(DemandState& state, const MemberState& member, Moment now, Effects& effects) {
+  state.open = true;
+  state.asked = now;
+  ++state.round;
+  state.reports.clear();
+  state.expected.clear();
+  for (const auto* entry : live_members(member, Program::data)) {
+    state.expected.insert(entry->node());
+    auto envelope = member_envelope(member, entry->node());
+    envelope.mutable_counter_ask()->set_round(state.round);
+    effects.push_back(SendMessage{entry->address(), std::move(envelope)});
+  }
+}
+
+void demand_receive(DemandState& state, const wire::Envelope& envelope, Moment now) {
+  const auto& report = envelope.counter_report();
+  state.backlogs[envelope.from()] = {now, report};
+  if (state.open && report.round() == state.round) state.reports[envelope.from()] = report;
+}
+
+bool demand_ready(const DemandState& state, Moment now) {
+  if (!state.open) return false;
+  return now - state.asked >= state.bound / 3 || state.reports.size() >= state.expected.size();
+}
+
+DemandPass demand_close(DemandState& state, std::uint64_t sample_limit,
+                        const std::map<std::string, std::string>& phases, Moment now) {
+  state.open = false;
+  DemandPass pass;
+  pass.from = state.last_pass;
+  pass.until = now;
+  state.last_pass = now;
+  for (const auto node : state.expected)
+    if (!state.reports.contains(node) || !state.baselines.contains(node)) pass.complete = false;
+  SampledWorkers sampled;
+  for (const auto& [node, report] : state.reports) {
+    const auto known = state.baselines.find(node);
+    std::map<std::string, wire::Counter> fresh;
+    for (const auto& counter : report.counters()) {
+      const auto phase = phases.find(counter.worker());
+      const auto role = counter.unit() + "|" + (phase == phases.end() ? "" : phase->second);
+      if (!sampled.take(role, counter.worker(), sample_limit)) {
+        pass.complete = false;
+        continue;
+      }
+      fresh[counter_key(counter)] = counter;
+      if (known == state.baselines.end()) continue;
+      const auto before = known->second.find(counter_key(counter));
+      const auto zero = wire::Counter();
+      const auto& base = before == known->second.end() ? zero : before->second;
+      if (fallen(base, counter)) {
+        pass.measured = pass.complete = false;
+        continue;
+      }
+      add_counter(pass.samples[counter.unit()], base, counter);
+    }
+    state.baselines[node] = std::move(fresh);
+  }
+  std::erase_if(state.baselines, [&](const auto& item) {
+    const bool gone = !state.reports.contains(item.first);
+    if (gone) pass.complete = false;
+    return gone;
+  });
+  if (pass.from == 0) pass.measured = pass.complete = false;
+  for (auto& [unit, sample] : pass.samples) {
+    sample.from = pass.from;
+    sample.until = pass.until;
+    sample.complete = pass.complete;
+    sample.measured = pass.measured;
+  }
+  return pass;
+}
+
+std::map<std::string, UnitDemand> demand_by_unit(const DemandState& state, const MemberState& member,
+                                                 const std::set<std::string>& units, Moment now) {
+  std::map<std::string, UnitDemand> result;
+  bool all_known = true;
+  for (const auto* entry : live_members(member, Program::data)) {
+    const auto found = state.backlogs.find(entry->node());
+    if (found == state.backlogs.end() || now - found->second.first > state.bound) all_known = false;
+  }
+  for (const auto& unit : units)
+    result[unit].quiet = all_known ? std::numeric_limits<Moment>::max() / 2 : 0;
+  for (const auto& [node, entry] : state.backlogs) {
+    const auto age = now - entry.first;
+    if (age > state.bound) continue;
+    for (const auto& backlog : entry.second.backlogs()) {
+      const auto found = result.find(backlog.unit());
+      if (found == result.end()) continue;
+      auto& demand = found->second;
+      demand.waiting += backlog.waiting();
+      demand.running += backlog.running();
+      demand.prompt_tokens += static_cast<double>(backlog.prompt_tokens());
+      demand.generation_tokens += static_cast<double>(backlog.generation_tokens());
+      demand.quiet = std::min(demand.quiet, static_cast<Moment>(backlog.quiet_ms()) + age);
+      if (backlog.waiting() > 0) demand.oldest = std::max(demand.oldest, static_cast<Moment>(backlog.oldest_ms()) + age);
+      for (const auto& adapter : backlog.adapters())
+        if (std::ranges::find(demand.adapters, adapter) == demand.adapters.end()) demand.adapters.push_back(adapter);
+    }
+  }
+  return result;
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/demand.hpp
@@ -0,0 +1,42 @@
+#pragma once
+#include "core/member.hpp"
+#include "core/placer.hpp"
+
+namespace weldsail {
+
+/// Counters of the routing nodes as the duty holder collects them.
+struct DemandState {
+  Moment bound = 3000;
+  std::map<std::uint64_t, std::map<std::string, wire::Counter>> baselines;
+  std::map<std::uint64_t, wire::CounterReport> reports;
+  std::map<std::uint64_t, std::pair<Moment, wire::CounterReport>> backlogs;
+  std::set<std::uint64_t> expected;
+  std::uint64_t round = 0;
+  Moment asked = 0;
+  Moment last_pass = 0;
+  bool open = false;
+};
+
+/// Samples of a pass by unit; `incomplete` says why shrinking must wait, when it must.
+struct DemandPass {
+  std::map<std::string, UnitSample> samples;
+  bool complete = true;
+  bool measured = true;
+  Moment from = 0;
+  Moment until = 0;
+};
+
+/// Asks every routing node for its counters.
+void demand_ask(DemandState& state, const MemberState& member, Moment now, Effects& effects);
+/// Takes a report of counters or of backlogs.
+void demand_receive(DemandState& state, const wire::Envelope& envelope, Moment now);
+/// True when all have answered or the time to answer is over.
+bool demand_ready(const DemandState& state, Moment now);
+/// Deltas since the last pass; the counters become the new baseline.
+DemandPass demand_close(DemandState& state, std::uint64_t sample_limit,
+                        const std::map<std::string, std::string>& phases, Moment now);
+/// What callers wait for, by unit; quiet only where every live routing node says so.
+std::map<std::string, UnitDemand> demand_by_unit(const DemandState& state, const MemberState& member,
+                                                 const std::set<std::string>& units, Moment now);
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/duty.cpp
@@ -0,0 +1,74 @@
+#include "core/duty.hpp"
+
+#include <algorithm>
+
+#include "core/rendezvous.hpp"
+
+namespace weldsail {
+namespace {
+
+constexpr Moment staggers_per_bound = 6;
+
+std::size_t own_rank(const MemberState& member, const wire::Core& core, const std::string& key) {
+  std::vector<std::uint64_t> candidates;
+  for (const auto* entry : live_members(member, Program::control))
+    if (core_seat(core, entry->disk()) != 0) candidates.push_back(entry->node());
+  const auto order = rendezvous_order(digest(key), std::move(candidates));
+  return static_cast<std::size_t>(std::ranges::find(order, member.self.node()) - order.begin());
+}
+
+std::uint64_t claimed_epoch(const wire::Member& entry, const std::string& key) {
+  for (const auto& holding : entry.holdings())
+    if (holding.key() == key) return holding.epoch();
+  return 0;
+}
+
+}  // namespace
+
+const wire::Member* duty_holder(const MemberState& member, const std::string& key) {
+  const wire::Member* holder = nullptr;
+  std::uint64_t highest = 0;
+  for (const auto* entry : live_members(member, Program::control)) {
+    const auto epoch = claimed_epoch(*entry, key);
+    if (epoch <= highest) continue;
+    highest = epoch;
+    holder = entry;
+  }
+  return holder;
+}
+
+bool duty_wanted(DutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
+                 Moment now) {
+  auto& view = state.views[owner.key];
+  const auto* holder = duty_holder(member, owner.key);
+  if (holder != nullptr) {
+    const auto epoch = claimed_epoch(*holder, owner.key);
+    if (epoch > view.epoch) view = {holder->node(), epoch, now, std::nullopt};
+    owner.seen_epoch = std::max(owner.seen_epoch, epoch);
+    view.vacant_since.reset();
+    return false;
+  }
+  if (!core.formed() || core_seat(core, member.self.disk()) == 0 || member.leaving) return false;
+  if (!view.vacant_since) view.vacant_since = now;
+  if (view.epoch != 0 && now - view.changed < state.bound) return false;
+  const auto rank = static_cast<Moment>(own_rank(member, core, owner.key));
+  if (now - *view.vacant_since < rank * state.bound / staggers_per_bound) return false;
+  if (now - owner.since < state.bound / staggers_per_bound) return false;
+  return owner.phase == OwnerPhase::idle;
+}
+
+void duty_claim(MemberState& member, const std::map<std::string, RegisterState>& owners) {
+  wire::Member claimed = member.self;
+  claimed.clear_holdings();
+  for (const auto& [key, owner] : owners) {
+    if (owner.phase != OwnerPhase::holding) continue;
+    auto* holding = claimed.add_holdings();
+    holding->set_key(key);
+    holding->set_epoch(owner.epoch);
+  }
+  if (claimed.SerializeAsString() == member.self.SerializeAsString()) return;
+  member.self = std::move(claimed);
+  member_announce(member);
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/duty.hpp
@@ -0,0 +1,32 @@
+#pragma once
+#include "core/register.hpp"
+
+namespace weldsail {
+
+/// What is known of who holds a key.
+struct DutyView {
+  std::uint64_t holder = 0;
+  std::uint64_t epoch = 0;
+  Moment changed = 0;
+  std::optional<Moment> vacant_since;
+};
+
+/// The duty part: decides when this node takes a key.
+struct DutyState {
+  Moment bound = 3000;
+  std::map<std::string, DutyView> views;
+};
+
+/// Keys that each have one owner.
+inline constexpr const char* config_key = "config";
+inline constexpr const char* placement_key = "placement";
+
+/// The live member that claims the key under the highest epoch.
+const wire::Member* duty_holder(const MemberState& member, const std::string& key);
+/// True when this node should take the key now.
+bool duty_wanted(DutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
+                 Moment now);
+/// Puts the keys held here into the own member entry.
+void duty_claim(MemberState& member, const std::map<std::string, RegisterState>& owners);
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/event.hpp
@@ -0,0 +1,79 @@
+#pragma once
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "wire.pb.h"
+
+namespace weldsail {
+
+/// Milliseconds on a clock that never jumps; only differences mean anything.
+using Moment = std::int64_t;
+
+/// One HTTP header; names are lower case.
+struct Header {
+  std::string name;
+  std::string value;
+};
+
+/// Names and bytes of the newest record under each name on the node's disk.
+using Records = std::map<std::string, std::string>;
+
+/// First event of a process: what the disk held and a random number.
+struct Started {
+  std::uint64_t random;
+  Records records;
+};
+/// The loop's alarm; carries randomness for the step.
+struct Ticked {
+  std::uint64_t random;
+};
+/// A message of another weldsail process.
+struct MessageArrived {
+  wire::Envelope envelope;
+};
+/// A caller's or operator's whole request.
+struct RequestArrived {
+  std::uint64_t request;
+  std::string method;
+  std::string path;
+  std::vector<Header> headers;
+  std::string body;
+};
+/// The one who asked has gone.
+struct RequestGone {
+  std::uint64_t request;
+};
+/// Status and headers of an answer on a pipe that we opened.
+struct PipeHead {
+  std::uint64_t pipe;
+  int status;
+  std::vector<Header> headers;
+};
+/// Body bytes on a pipe that we opened.
+struct PipeBytes {
+  std::uint64_t pipe;
+  std::string bytes;
+};
+/// A pipe has ended; `whole` when the answer's framing was met, `sent` when a byte may have left.
+struct PipeEnded {
+  std::uint64_t pipe;
+  bool whole;
+  bool sent;
+  std::string reason;
+};
+/// The disk has synced (or failed to sync) what was handed over under the token.
+struct Persisted {
+  std::uint64_t token;
+  bool kept;
+};
+/// The process was told to leave.
+struct Leaving {};
+
+/// Everything that can happen to a process.
+using Event = std::variant<Started, Ticked, MessageArrived, RequestArrived, RequestGone, PipeHead, PipeBytes, PipeEnded,
+                           Persisted, Leaving>;
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/formation.hpp
@@ -0,0 +1,32 @@
+#pragma once
+#include "core/register.hpp"
+
+namespace weldsail {
+
+/// Where the node stands with a core.
+enum class CorePhase { diskless, blank, bound, formed };
+
+/// The formation part's state: which core this node belongs to or knows of.
+struct FormationState {
+  std::uint32_t core_size = 0;
+  CorePhase phase = CorePhase::diskless;
+  wire::Core core;
+  std::set<std::uint64_t> granted;
+  std::map<std::uint64_t, wire::Envelope> waiting;
+  std::uint64_t next_token = 0;
+  Moment next_try = 0;
+};
+
+/// Prefix of the tokens that belong to the formation.
+inline constexpr std::uint64_t formation_tokens = 2ULL << 40U;
+
+/// Reads or makes the disk's identity; 0 for a node without a disk.
+std::uint64_t formation_start(FormationState& state, const Records& records, std::uint64_t random, bool has_disk,
+                              Effects& effects);
+void formation_tick(FormationState& state, MemberState& member, std::uint64_t random, Moment now, Effects& effects);
+void formation_receive(FormationState& state, MemberState& member, const wire::Envelope& envelope, Effects& effects);
+void formation_persisted(FormationState& state, MemberState& member, const Persisted& event, Effects& effects);
+/// Takes a formed core from news; a node bound to another core keeps its own.
+void formation_learn(FormationState& state, MemberState& member, const wire::Core& core, Effects& effects);
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/member.hpp
@@ -0,0 +1,68 @@
+#pragma once
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/effect.hpp"
+
+namespace weldsail {
+
+/// How a member is seen by the fleet.
+enum class MemberPhase : std::uint32_t { alive = 1, suspect = 2, broken = 3, left = 4 };
+/// Which program a member runs.
+enum class Program : std::uint32_t { data = 1, control = 2 };
+
+/// Version of the messages that this build speaks.
+inline constexpr std::uint32_t wire_release = 1;
+
+/// What a process is told about its place.
+struct MemberOptions {
+  Program program = Program::data;
+  std::string address;
+  std::string callers;
+  std::string locality;
+  std::vector<std::string> seeds;
+  Moment bound = 3000;
+};
+
+/// One other member as known here.
+struct MemberView {
+  wire::Member entry;
+  Moment heard = 0;
+  Moment changed = 0;
+};
+
+/// The member part's state.
+struct MemberState {
+  MemberOptions options;
+  wire::Member self;
+  std::map<std::uint64_t, MemberView> others;
+  Moment next_beat = 0;
+  Moment last_tick = 0;
+  std::uint64_t turn = 0;
+  bool leaving = false;
+};
+
+Moment member_beat(const MemberState& state);
+Moment member_suspect_after(const MemberState& state);
+Moment member_broken_after(const MemberState& state);
+
+void member_start(MemberState& state, std::uint64_t random, std::uint64_t disk, Moment now);
+/// Raises the own revision so that a change to `self` spreads.
+void member_announce(MemberState& state);
+void member_tick(MemberState& state, const std::vector<wire::Known>& known, Moment now, Effects& effects);
+/// Takes a ping and answers it where asked to.
+void member_receive(MemberState& state, const wire::Envelope& envelope, const std::vector<wire::Known>& known,
+                    Moment now, Effects& effects);
+void member_leave(MemberState& state, const std::vector<wire::Known>& known, Effects& effects);
+
+/// An envelope from this process.
+wire::Envelope member_envelope(const MemberState& state, std::uint64_t target);
+/// Sends an envelope to a member by node.
+void member_send(const MemberState& state, std::uint64_t node, wire::Envelope envelope, Effects& effects);
+/// Members that may be given work, this one included where its program fits.
+std::vector<const wire::Member*> live_members(const MemberState& state, Program program);
+const wire::Member* find_disk(const MemberState& state, std::uint64_t disk);
+bool member_live(const MemberState& state, std::uint64_t node);
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/operate.cpp
@@ -0,0 +1,154 @@
+#include "core/operate.hpp"
+
+#include <algorithm>
+
+#include "core/config.hpp"
+#include "core/json.hpp"
+#include "core/rendezvous.hpp"
+
+namespace weldsail {
+namespace {
+
+constexpr const char* phase_names[] = {"", "alive", "suspect", "broken", "left"};
+
+void write_member(JsonText& text, const wire::Member& entry) {
+  text.object().field("node", std::to_string(entry.node())).field("address", entry.address());
+  text.field("callers", entry.callers()).field("locality", entry.locality());
+  text.field("program", entry.program() == static_cast<std::uint32_t>(Program::data) ? "wsdp" : "wscp");
+  text.field("state", phase_names[std::min<std::uint32_t>(entry.state(), 4)]);
+  text.field("disk", std::to_string(entry.disk())).field("cluster", std::to_string(entry.cluster()));
+  text.key("holds").array();
+  for (const auto& holding : entry.holdings()) text.item(holding.key());
+  text.end().close();
+}
+
+std::string members_text(const MemberState& member) {
+  JsonText text;
+  text.object().key("members").array();
+  write_member(text, member.self);
+  for (const auto& [node, view] : member.others) write_member(text, view.entry);
+  text.end().close();
+  return text.text();
+}
+
+std::string faults_text(const std::vector<Fault>& faults) {
+  JsonText text;
+  text.object().field("outcome", faults.empty() ? "valid" : "refused").key("faults").array();
+  for (const auto& fault : faults)
+    text.object().field("pointer", fault.pointer).field("message", fault.message).close();
+  text.end().close();
+  return text.text();
+}
+
+}  // namespace
+
+bool operate_path(const std::string& path) {
+  static constexpr const char* roots[] = {"/v1/config", "/v1/members", "/v1/workers", "/v1/placements",
+                                          "/v1/holds",  "/v1/status",  "/v1/drain"};
+  return std::ranges::any_of(roots, [&](const std::string& root) {
+    return path == root || path.starts_with(root + "/");
+  });
+}
+
+std::optional<std::string> operate_key(const std::string& path) {
+  if (path == "/v1/members" || path == "/v1/status" || path == "/v1/config/check") return std::nullopt;
+  return path.starts_with("/v1/config") ? config_key : placement_key;
+}
+
+std::string header_value(const std::vector<Header>& headers, const std::string& name) {
+  const auto found = std::ranges::find(headers, name, &Header::name);
+  return found == headers.end() ? std::string() : found->value;
+}
+
+wire::Operate operate_read(const RequestArrived& event, std::uint64_t random) {
+  wire::Operate operation;
+  operation.set_method(event.method);
+  operation.set_path(event.path);
+  operation.set_body(event.body);
+  operation.set_base(header_value(event.headers, "weldsail-base"));
+  operation.set_change(header_value(event.headers, "weldsail-change"));
+  if (operation.change().empty()) operation.set_change("c" + std::to_string(mix(random ^ event.request)));
+  return operation;
+}
+
+void operate_answer(const MemberState& member, const Asker& asker, int status, std::string body, Effects& effects,
+                    const std::string& version) {
+  if (asker.node == 0) {
+    std::vector<Header> headers{{"content-type", "application/json"}};
+    if (!version.empty()) headers.push_back({"weldsail-version", version});
+    if (status == 503) headers.push_back({"retry-after", "1"});
+    effects.push_back(Answer{asker.request, status, std::move(headers), std::move(body)});
+    return;
+  }
+  auto envelope = member_envelope(member, asker.node);
+  auto* answer = envelope.mutable_operated();
+  answer->set_request(asker.request);
+  answer->set_status(static_cast<std::uint32_t>(status));
+  answer->set_version(version);
+  answer->set_body(std::move(body));
+  effects.push_back(SendMessage{asker.address, std::move(envelope)});
+}
+
+void operate_refuse(const MemberState& member, const Asker& asker, int status, const std::string& code,
+                    const std::string& outcome, const std::string& change, Effects& effects) {
+  JsonText text;
+  text.object().field("code", code).field("outcome", outcome);
+  if (!change.empty()) text.field("change", change);
+  text.close();
+  operate_answer(member, asker, status, text.text(), effects);
+}
+
+void operate_forward(OperateState& state, const MemberState& member, wire::Operate operation, const std::string& key,
+                     std::uint64_t request, Moment now, Effects& effects) {
+  const auto* holder = duty_holder(member, key);
+  if (holder == nullptr || holder->node() == member.self.node()) {
+    operate_refuse(member, {request, 0, {}}, 503, "no_owner", "refused", operation.change(), effects);
+    return;
+  }
+  const auto identity = state.next++;
+  const bool change = operation.method() != "GET";
+  state.forwarded[identity] = {request, now + 2 * state.bound, change ? operation.change() : std::string()};
+  operation.set_request(identity);
+  auto envelope = member_envelope(member, holder->node());
+  *envelope.mutable_operate() = std::move(operation);
+  effects.push_back(SendMessage{holder->address(), std::move(envelope)});
+}
+
+void operate_answered(OperateState& state, const wire::Envelope& envelope, Effects& effects) {
+  const auto& answer = envelope.operated();
+  const auto found = state.forwarded.find(answer.request());
+  if (found == state.forwarded.end()) return;
+  std::vector<Header> headers{{"content-type", "application/json"}};
+  if (!answer.version().empty()) headers.push_back({"weldsail-version", answer.version()});
+  if (answer.status() == 503) headers.push_back({"retry-after", "1"});
+  effects.push_back(Answer{found->second.request, static_cast<int>(answer.status()), std::move(headers), answer.body()});
+  state.forwarded.erase(found);
+}
+
+void operate_tick(OperateState& state, const MemberState& member, Moment now, Effects& effects) {
+  std::erase_if(state.forwarded, [&](const auto& item) {
+    const auto& forwarded = item.second;
+    if (now < forwarded.due) return false;
+    const bool change = !forwarded.change.empty();
+    operate_refuse(member, {forwarded.request, 0, {}}, change ? 504 : 503, "no_answer", change ? "unknown" : "refused",
+                   forwarded.change, effects);
+    return true;
+  });
+}
+
+bool operate_local(const MemberState& member, const wire::Operate& operation, const std::string& status_text,
+                   const Asker& asker, Effects& effects) {
+  if (operation.path() == "/v1/members")
+    operate_answer(member, asker, 200, members_text(member), effects);
+  else if (operation.path() == "/v1/status")
+    operate_answer(member, asker, 200, status_text, effects);
+  else if (operation.path() == "/v1/config/check") {
+    const auto read = read_config(operation.body());
+    operate_answer(member, asker, read.faults.empty() ? 200 : 422, faults_text(read.faults), effects);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/operate.hpp
@@ -0,0 +1,48 @@
+#pragma once
+#include "core/duty.hpp"
+
+namespace weldsail {
+
+/// Who asked: a request of this node, or one that another node has forwarded.
+struct Asker {
+  std::uint64_t request = 0;
+  std::uint64_t node = 0;
+  std::string address;
+};
+
+/// An operator's request that another node answers.
+struct ForwardedOperation {
+  std::uint64_t request = 0;
+  Moment due = 0;
+  std::string change;
+};
+
+/// The operator part: the same on every node.
+struct OperateState {
+  Moment bound = 3000;
+  std::map<std::uint64_t, ForwardedOperation> forwarded;
+  std::uint64_t next = 1;
+};
+
+/// True for a path that operators use.
+bool operate_path(const std::string& path);
+/// The key whose owner answers a path, or nothing when any node does.
+std::optional<std::string> operate_key(const std::string& path);
+wire::Operate operate_read(const RequestArrived& event, std::uint64_t random);
+std::string header_value(const std::vector<Header>& headers, const std::string& name);
+/// Answers whoever asked.
+void operate_answer(const MemberState& member, const Asker& asker, int status, std::string body, Effects& effects,
+                    const std::string& version = {});
+/// Answers with an error document; `outcome` is refused, unknown or not_run.
+void operate_refuse(const MemberState& member, const Asker& asker, int status, const std::string& code,
+                    const std::string& outcome, const std::string& change, Effects& effects);
+/// Carries an operation to the key's holder.
+void operate_forward(OperateState& state, const MemberState& member, wire::Operate operation,
+                     const std::string& key, std::uint64_t request, Moment now, Effects& effects);
+void operate_answered(OperateState& state, const wire::Envelope& envelope, Effects& effects);
+void operate_tick(OperateState& state, const MemberState& member, Moment now, Effects& effects);
+/// Answers what any node can by itself; false when the path is for an owner.
+bool operate_local(const MemberState& member, const wire::Operate& operation, const std::string& status_text,
+                   const Asker& asker, Effects& effects);
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/register.cpp
@@ -0,0 +1,198 @@
+#include "core/register.hpp"
+
+#include <algorithm>
+
+namespace weldsail {
+namespace {
+
+constexpr Moment leases_per_bound = 3;
+constexpr Moment checks_per_lease = 4;
+constexpr Moment give_up_leases = 3;
+
+void change_phase(RegisterState& state, OwnerPhase phase, Moment now, Effects& effects) {
+  static constexpr const char* names[] = {"idle", "preparing", "adopting", "holding"};
+  note(effects, "register.phase",
+       {{"key", state.key},
+        {"from", names[static_cast<int>(state.phase)]},
+        {"to", names[static_cast<int>(phase)]},
+        {"epoch", std::to_string(state.epoch)},
+        {"version", std::to_string(state.version)}});
+  state.phase = phase;
+  state.since = now;
+}
+
+void send_core(const MemberState& member, const wire::Core& core, const wire::Envelope& envelope, Effects& effects) {
+  for (const auto& disk : core.disks()) {
+    const auto* entry = find_disk(member, disk.disk());
+    if (entry == nullptr) continue;
+    auto copy = envelope;
+    copy.set_to(entry->node());
+    effects.push_back(SendMessage{entry->address(), std::move(copy)});
+  }
+}
+
+void send_proposal(RegisterState& state, const MemberState& member, const wire::Core& core, Moment now,
+                   Effects& effects) {
+  auto envelope = member_envelope(member, 0);
+  auto* accept = envelope.mutable_accept();
+  accept->set_key(state.key);
+  accept->set_epoch(state.epoch);
+  accept->set_version(state.proposal->version);
+  accept->set_value(state.proposal->value);
+  state.proposal->sent = now;
+  send_core(member, core, envelope, effects);
+}
+
+void lose(RegisterState& state, std::uint64_t promised, Moment now, Effects& effects) {
+  state.seen_epoch = std::max(state.seen_epoch, promised);
+  state.proposal.reset();
+  change_phase(state, OwnerPhase::idle, now, effects);
+}
+
+RegisterSignal take_promise(RegisterState& state, const MemberState& member, const wire::Core& core,
+                            const wire::Envelope& envelope, Moment now, Effects& effects) {
+  const auto& promise = envelope.promise();
+  if (state.phase != OwnerPhase::preparing || promise.epoch() != state.epoch) return RegisterSignal::none;
+  if (!promise.granted()) {
+    lose(state, promise.promised(), now, effects);
+    return RegisterSignal::lost;
+  }
+  if (std::pair(promise.accepted_epoch(), promise.version()) > std::pair(state.best_epoch, state.version)) {
+    state.best_epoch = promise.accepted_epoch();
+    state.version = promise.version();
+    state.value = promise.value();
+  }
+  state.promised.insert(envelope.disk());
+  if (!core_majority(core, state.promised)) return RegisterSignal::none;
+  state.acts_from = now + register_lease(state);
+  state.confirmed = state.since;
+  if (state.best_epoch == 0) {
+    change_phase(state, OwnerPhase::holding, now, effects);
+    return RegisterSignal::held;
+  }
+  change_phase(state, OwnerPhase::adopting, now, effects);
+  state.proposal = Proposal{state.version, state.value, {}, now};
+  send_proposal(state, member, core, now, effects);
+  return RegisterSignal::none;
+}
+
+RegisterSignal take_accepted(RegisterState& state, const wire::Core& core, const wire::Envelope& envelope, Moment now,
+                             Effects& effects) {
+  const auto& accepted = envelope.accepted();
+  if (!state.proposal || accepted.epoch() != state.epoch) return RegisterSignal::none;
+  if (!accepted.granted()) {
+    lose(state, accepted.promised(), now, effects);
+    return RegisterSignal::lost;
+  }
+  if (accepted.version() != state.proposal->version) return RegisterSignal::none;
+  state.proposal->granted.insert(envelope.disk());
+  if (!core_majority(core, state.proposal->granted)) return RegisterSignal::none;
+  state.version = state.proposal->version;
+  state.value = std::move(state.proposal->value);
+  state.proposal.reset();
+  if (state.phase == OwnerPhase::holding) return RegisterSignal::committed;
+  change_phase(state, OwnerPhase::holding, now, effects);
+  return RegisterSignal::held;
+}
+
+RegisterSignal take_checked(RegisterState& state, const wire::Core& core, const wire::Envelope& envelope, Moment now,
+                            Effects& effects) {
+  const auto& checked = envelope.checked();
+  if (state.phase != OwnerPhase::holding || checked.epoch() != state.epoch) return RegisterSignal::none;
+  if (!checked.granted()) {
+    lose(state, checked.promised(), now, effects);
+    return RegisterSignal::lost;
+  }
+  if (checked.round() != state.round) return RegisterSignal::none;
+  state.checked.insert(envelope.disk());
+  if (core_majority(core, state.checked)) state.confirmed = std::max(state.confirmed, state.round_sent);
+  return RegisterSignal::none;
+}
+
+}  // namespace
+
+Moment register_lease(const RegisterState& state) { return state.bound / leases_per_bound; }
+
+std::uint32_t core_seat(const wire::Core& core, std::uint64_t disk) {
+  for (const auto& item : core.disks())
+    if (item.disk() == disk) return item.seat();
+  return 0;
+}
+
+bool core_majority(const wire::Core& core, const std::set<std::uint64_t>& disks) {
+  const auto count = std::ranges::count_if(
+      core.disks(), [&](const wire::CoreDisk& item) { return disks.contains(item.disk()); });
+  return core.disks_size() > 0 && count * 2 > core.disks_size();
+}
+
+void register_prepare(RegisterState& state, const MemberState& member, const wire::Core& core, Moment now,
+                      Effects& effects) {
+  const auto highest = std::max(state.seen_epoch, state.epoch);
+  state.epoch = (highest / epoch_stride + 1) * epoch_stride + core_seat(core, member.self.disk());
+  state.version = 0;
+  state.value.clear();
+  state.best_epoch = 0;
+  state.promised.clear();
+  state.checked.clear();
+  state.proposal.reset();
+  change_phase(state, OwnerPhase::preparing, now, effects);
+  auto envelope = member_envelope(member, 0);
+  envelope.mutable_prepare()->set_key(state.key);
+  envelope.mutable_prepare()->set_epoch(state.epoch);
+  send_core(member, core, envelope, effects);
+}
+
+bool register_propose(RegisterState& state, const MemberState& member, const wire::Core& core, std::string value,
+                      Moment now, Effects& effects) {
+  if (state.phase != OwnerPhase::holding || state.proposal) return false;
+  state.proposal = Proposal{state.version + 1, std::move(value), {}, now};
+  send_proposal(state, member, core, now, effects);
+  return true;
+}
+
+RegisterSignal register_receive(RegisterState& state, const MemberState& member, const wire::Core& core,
+                                const wire::Envelope& envelope, Moment now, Effects& effects) {
+  if (core_seat(core, envelope.disk()) == 0) return RegisterSignal::none;
+  if (envelope.has_promise()) return take_promise(state, member, core, envelope, now, effects);
+  if (envelope.has_accepted()) return take_accepted(state, core, envelope, now, effects);
+  if (envelope.has_checked()) return take_checked(state, core, envelope, now, effects);
+  return RegisterSignal::none;
+}
+
+RegisterSignal register_tick(RegisterState& state, const MemberState& member, const wire::Core& core, Moment now,
+                             Effects& effects) {
+  const auto lease = register_lease(state);
+  if (state.phase == OwnerPhase::idle) return RegisterSignal::none;
+  if (state.phase != OwnerPhase::holding && now - state.since > give_up_leases * lease) {
+    lose(state, state.epoch, now, effects);
+    return RegisterSignal::lost;
+  }
+  if (state.proposal && now - state.proposal->sent >= lease) send_proposal(state, member, core, now, effects);
+  if (state.phase != OwnerPhase::holding) return RegisterSignal::none;
+  if (now - state.confirmed > give_up_leases * lease) {
+    lose(state, state.epoch, now, effects);
+    return RegisterSignal::lost;
+  }
+  if (now - state.round_sent < lease / checks_per_lease) return RegisterSignal::none;
+  ++state.round;
+  state.round_sent = now;
+  state.checked.clear();
+  auto envelope = member_envelope(member, 0);
+  auto* check = envelope.mutable_check();
+  check->set_key(state.key);
+  check->set_epoch(state.epoch);
+  check->set_round(state.round);
+  send_core(member, core, envelope, effects);
+  return RegisterSignal::none;
+}
+
+void register_release(RegisterState& state, Moment now, Effects& effects) {
+  if (state.phase != OwnerPhase::idle) lose(state, state.epoch, now, effects);
+}
+
+bool register_may_act(const RegisterState& state, Moment now) {
+  return state.phase == OwnerPhase::holding && now >= state.acts_from &&
+         now - state.confirmed < register_lease(state);
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/register.hpp
@@ -0,0 +1,65 @@
+#pragma once
+#include <optional>
+#include <set>
+
+#include "core/acceptor.hpp"
+
+namespace weldsail {
+
+/// Where an owner stands with its key.
+enum class OwnerPhase { idle, preparing, adopting, holding };
+/// What a step did to the ownership.
+enum class RegisterSignal { none, held, committed, lost };
+
+/// A change that waits for its majority.
+struct Proposal {
+  std::uint64_t version = 0;
+  std::string value;
+  std::set<std::uint64_t> granted;
+  Moment sent = 0;
+};
+
+/// The owner side of one key.
+struct RegisterState {
+  std::string key;
+  Moment bound = 3000;
+  OwnerPhase phase = OwnerPhase::idle;
+  std::uint64_t epoch = 0;
+  std::uint64_t seen_epoch = 0;
+  std::uint64_t version = 0;
+  std::string value;
+  std::uint64_t best_epoch = 0;
+  std::set<std::uint64_t> promised;
+  std::optional<Proposal> proposal;
+  Moment since = 0;
+  Moment confirmed = 0;
+  Moment acts_from = 0;
+  std::uint64_t round = 0;
+  Moment round_sent = 0;
+  std::set<std::uint64_t> checked;
+};
+
+/// Seats of a core are below this; epochs are round * stride + seat.
+inline constexpr std::uint64_t epoch_stride = 4096;
+
+Moment register_lease(const RegisterState& state);
+/// Seat of a disk in the core, 0 when it has none.
+std::uint32_t core_seat(const wire::Core& core, std::uint64_t disk);
+bool core_majority(const wire::Core& core, const std::set<std::uint64_t>& disks);
+
+/// Begins to take the key under an epoch above all that were seen.
+void register_prepare(RegisterState& state, const MemberState& member, const wire::Core& core, Moment now,
+                      Effects& effects);
+/// Proposes the next value; false when the key isn't held or a change is under way.
+bool register_propose(RegisterState& state, const MemberState& member, const wire::Core& core, std::string value,
+                      Moment now, Effects& effects);
+RegisterSignal register_receive(RegisterState& state, const MemberState& member, const wire::Core& core,
+                                const wire::Envelope& envelope, Moment now, Effects& effects);
+RegisterSignal register_tick(RegisterState& state, const MemberState& member, const wire::Core& core, Moment now,
+                             Effects& effects);
+/// Gives the key up.
+void register_release(RegisterState& state, Moment now, Effects& effects);
+/// True while no other owner can have begun to act.
+bool register_may_act(const RegisterState& state, Moment now);
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/report.cpp
@@ -0,0 +1,88 @@
+#include <algorithm>
+
+#include "core/data.hpp"
+#include "core/json.hpp"
+
+namespace weldsail {
+namespace {
+
+constexpr Moment reports_per_bound = 3;
+constexpr Moment adapter_wanted_bounds = 20;
+
+void write_histogram(wire::Histogram& histogram, const Latencies& latencies) {
+  for (const auto count : latencies.counts) histogram.add_counts(count);
+  histogram.set_sum(latencies.sum);
+  histogram.set_count(latencies.count);
+}
+
+void write_backlog(const DataState& state, const std::string& name, const Pool& pool, Moment now,
+                   wire::Backlog& backlog) {
+  backlog.set_unit(name);
+  backlog.set_waiting(pool.waiting.size());
+  backlog.set_running(pool.running);
+  const bool busy = pool.running > 0 || !pool.waiting.empty();
+  backlog.set_quiet_ms(busy ? 0 : static_cast<std::uint64_t>(now - pool.last_used));
+  std::vector<std::pair<Moment, std::string>> adapters;
+  for (const auto& [adapter, used] : pool.adapters)
+    if (now - used < adapter_wanted_bounds * state.options.member.bound) adapters.emplace_back(-used, adapter);
+  for (const auto request : pool.waiting) {
+    const auto& carry = state.carries.at(request);
+    backlog.set_prompt_tokens(backlog.prompt_tokens() + carry.prompt_tokens);
+    backlog.set_generation_tokens(backlog.generation_tokens() + carry.generation_tokens);
+    backlog.set_oldest_ms(std::max(backlog.oldest_ms(), static_cast<std::uint64_t>(now - carry.arrived)));
+    for (auto& [used, adapter] : adapters)
+      if (adapter == carry.route.adapter) used = std::min(used, -now - 1);
+  }
+  std::ranges::sort(adapters);
+  for (const auto& [used, adapter] : adapters) backlog.add_adapters(adapter);
+}
+
+}  // namespace
+
+void report_counters(const DataState& state, std::uint64_t node, const std::string& address, std::uint64_t round,
+                     Moment now, Effects& effects) {
+  auto envelope = member_envelope(state.member, node);
+  auto* report = envelope.mutable_counter_report();
+  report->set_round(round);
+  report->set_placement_version(state.placement_version);
+  for (const auto& [name, pool] : state.pools)
+    if (!name.starts_with("call:")) write_backlog(state, name, pool, now, *report->add_backlogs());
+  if (round != 0)
+    for (const auto& [unit, workers] : state.counters)
+      for (const auto& [worker, counted] : workers) {
+        auto* counter = report->add_counters();
+        counter->set_unit(unit);
+        counter->set_worker(worker);
+        counter->set_missed_tokens(counted.missed_tokens);
+        counter->set_generated_tokens(counted.generated_tokens);
+        write_histogram(*counter->mutable_first_token(), counted.first_token);
+        write_histogram(*counter->mutable_inter_token(), counted.inter_token);
+      }
+  effects.push_back(SendMessage{address, std::move(envelope)});
+}
+
+void report_tick(DataState& state, Moment now, Effects& effects) {
+  if (now < state.next_report) return;
+  state.next_report = now + state.options.member.bound / reports_per_bound;
+  const auto* holder = duty_holder(state.member, placement_key);
+  if (holder != nullptr) report_counters(state, holder->node(), holder->address(), 0, now, effects);
+}
+
+std::string data_status_text(const DataState& state, Moment now) {
+  const auto& totals = state.totals;
+  JsonText text;
+  text.object().field("program", "wsdp").field("node", std::to_string(state.member.self.node()));
+  text.number("config_version", state.document_version).number("placement_version", state.placement_version);
+  text.number("taken", totals.taken).number("finished", totals.finished).number("not_run", totals.not_run);
+  text.number("unknown", totals.unknown).number("streams_broken", totals.streams_broken);
+  text.number("retries", totals.retries).number("gone", totals.gone);
+  text.number("prompt_tokens", totals.prompt_tokens).number("hit_tokens", totals.hit_tokens);
+  text.number("in_hand", state.carries.size()).truth("leaving", state.member.leaving);
+  text.key("workers").object();
+  for (const auto& [address, view] : state.watch.views)
+    text.truth(address.c_str(), worker_usable(state.watch, view, now));
+  text.close().close();
+  return text.text();
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/take.cpp
@@ -0,0 +1,129 @@
+#include <charconv>
+
+#include "core/data.hpp"
+#include "core/json.hpp"
+
+namespace weldsail {
+namespace {
+
+constexpr std::uint64_t usual_generation = 256;
+
+struct Place {
+  std::string tenant;
+  std::string route;
+};
+
+std::optional<Place> read_place(const std::string& path) {
+  static const std::string root = "/v1/tenants/";
+  static const std::string middle = "/routes/";
+  if (!path.starts_with(root)) return std::nullopt;
+  const auto end = path.find(middle, root.size());
+  if (end == std::string::npos) return std::nullopt;
+  Place place{path.substr(root.size(), end - root.size()), path.substr(end + middle.size())};
+  if (place.tenant.empty() || place.route.empty() || place.route.find('/') != std::string::npos) return std::nullopt;
+  return place;
+}
+
+std::optional<Moment> read_due(const std::string& text, Moment limit) {
+  if (text.empty()) return limit;
+  Moment due = 0;
+  const auto read = std::from_chars(text.data(), text.data() + text.size(), due);
+  if (read.ec != std::errc() || read.ptr != text.data() + text.size() || due <= 0) return std::nullopt;
+  return std::min(due, limit);
+}
+
+bool read_body(Carry& carry) {
+  rapidjson::Document document;
+  document.Parse<rapidjson::kParseIterativeFlag>(carry.body.data(), carry.body.size());
+  if (document.HasParseError() || !document.IsObject()) return false;
+  if (carry.route.kind == RouteKind::call) return true;
+  const auto* prompt = rapidjson::Pointer("/prompt").Get(document);
+  if (prompt == nullptr || !prompt->IsString()) return false;
+  const auto text = json_string(*prompt);
+  carry.prompt_tokens = (text.size() + bytes_per_token - 1) / bytes_per_token;
+  carry.blocks = prefix_blocks(carry.route.model + "|" + carry.route.adapter, text);
+  const auto most = json_number_at(document, "/max_tokens", static_cast<double>(usual_generation));
+  carry.generation_tokens = most > 0 ? static_cast<std::uint64_t>(most) : usual_generation;
+  return true;
+}
+
+Moment due_limit(const ConfigDocument& document, const RouteOptions& route) {
+  const auto model = document.models.find(route.model);
+  return model == document.models.end() ? route.due : std::min(route.due, model->second.due_limit);
+}
+
+bool own_node_drained(const DataState& state) {
+  const auto name = "node:" + state.options.member.address;
+  return std::ranges::find(state.placement.drained(), name) != state.placement.drained().end();
+}
+
+}  // namespace
+
+void data_take(DataState& state, const RequestArrived& event, Moment now, Effects& effects) {
+  const auto refuse = [&](int status, const char* code, int retry_after = 0) {
+    ++state.totals.not_run;
+    refuse_caller(event.request, status, code, "not_run", retry_after, effects);
+  };
+  const auto place = read_place(event.path);
+  if (!place) return refuse(404, "no_such_path");
+  if (event.method != "POST") return refuse(405, "method_not_allowed");
+  if (event.body.size() > state.options.body_limit) return refuse(413, "too_large");
+  if (state.member.leaving || own_node_drained(state)) return refuse(503, "leaving", 1);
+  if (!state.document) return refuse(503, "no_configuration", 2);
+  const auto tenant = state.document->tenants.find(place->tenant);
+  if (tenant == state.document->tenants.end()) return refuse(404, "no_such_tenant");
+  const auto route = tenant->second.routes.find(place->route);
+  if (route == tenant->second.routes.end()) return refuse(404, "no_such_route");
+  Carry carry;
+  carry.request = event.request;
+  carry.run = std::to_string(state.member.self.node()) + "-" + std::to_string(event.request);
+  carry.caller_id = header_value(event.headers, "weldsail-request");
+  if (carry.caller_id.empty()) carry.caller_id = carry.run;
+  carry.tenant = place->tenant;
+  carry.cell = tenant->second.cell;
+  carry.route = route->second;
+  const bool call = carry.route.kind == RouteKind::call;
+  carry.pool = call ? "call:" + carry.cell + "/" + carry.route.service : unit_name(carry.cell, carry.route.model);
+  carry.body = event.body;
+  if (!read_body(carry)) return refuse(400, "malformed");
+  const auto due = read_due(header_value(event.headers, "weldsail-due"), due_limit(*state.document, carry.route));
+  if (!due) return refuse(400, "due_unusable");
+  carry.arrived = now;
+  carry.ledger.kind = carry.route.kind;
+  carry.ledger.resumable = carry.route.resumable;
+  carry.ledger.due = now + *due;
+  carry.ledger.hold_due = now + std::min(*due, state.options.hold_limit);
+  auto& pool = state.pools[carry.pool];
+  pool.last_used = now;
+  if (!carry.route.adapter.empty()) pool.adapters[carry.route.adapter] = now;
+  if (pool.waiting.size() >= state.options.backlog_limit) return refuse(503, "overloaded", 2);
+  ++state.totals.taken;
+  const bool first = pool.waiting.empty();
+  const auto request = carry.request;
+  state.carries[request] = std::move(carry);
+  if (first || call)
+    carry_move(state, request, now, effects);
+  else
+    pool.waiting.push_back(request);
+  if (!pool.waiting.empty() && first) state.next_report = now;
+}
+
+void pool_dispatch(DataState& state, const std::string& name, Moment now, Effects& effects) {
+  const auto found = state.pools.find(name);
+  if (found == state.pools.end() || found->second.waiting.empty()) return;
+  std::set<std::string> stuck;
+  for (const bool deferred : {false, true}) {
+    const auto waiting = found->second.waiting;
+    for (const auto request : waiting) {
+      const auto carry = state.carries.find(request);
+      if (carry == state.carries.end()) continue;
+      const auto& route = carry->second.route;
+      if ((route.kind == RouteKind::deferred) != deferred || stuck.contains(route.adapter)) continue;
+      carry_move(state, request, now, effects);
+      if (std::ranges::find(found->second.waiting, request) != found->second.waiting.end())
+        stuck.insert(route.adapter);
+    }
+  }
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/shell/loop.cpp
@@ -0,0 +1,93 @@
+#include "shell/loop.hpp"
+
+#include <csignal>
+#include <ctime>
+#include <random>
+#include <sys/signalfd.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+namespace weldsail {
+namespace {
+
+constexpr std::uint64_t ten_years = 10ULL * 365 * 24 * 3600 * 1000;
+constexpr int longest_wait = 1000;
+
+int make_alarm(std::int64_t period) {
+  const int descriptor = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  itimerspec specification{};
+  specification.it_interval.tv_sec = period / 1000;
+  specification.it_interval.tv_nsec = period % 1000 * 1000000;
+  specification.it_value = specification.it_interval;
+  timerfd_settime(descriptor, 0, &specification, nullptr);
+  return descriptor;
+}
+
+int make_interrupts() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+  return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+template <typename Content>
+bool drain(int descriptor) {
+  Content content{};
+  bool any = false;
+  while (read(descriptor, &content, sizeof(content)) == static_cast<ssize_t>(sizeof(content))) any = true;
+  return any;
+}
+
+}  // namespace
+
+std::int64_t monotonic_now() {
+  timespec now{};
+  clock_gettime(CLOCK_MONOTONIC, &now);
+  return static_cast<std::int64_t>(now.tv_sec) * 1000 + now.tv_nsec / 1000000;
+}
+
+std::uint64_t random_number() {
+  static std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+Loop::Loop() : loop_(h2o_evloop_create()) {
+  std::signal(SIGPIPE, SIG_IGN);
+  h2o_timeout_init(loop_, &never_, ten_years);
+}
+
+Loop::~Loop() {
+  step(0);
+  h2o_timeout_dispose(loop_, &never_);
+  h2o_evloop_destroy(loop_);
+}
+
+void Loop::run() {
+  while (!stopped_) step(longest_wait);
+}
+
+void Loop::step(int milliseconds) { h2o_evloop_run(loop_, milliseconds); }
+
+Readable::Readable(Loop& loop, int descriptor, std::function<void()> ready)
+    : socket_(h2o_evloop_socket_create(loop.raw(), descriptor, H2O_SOCKET_FLAG_DONT_READ)), ready_(std::move(ready)) {
+  socket_->data = this;
+  h2o_socket_read_start(socket_, [](h2o_socket_t* socket, const char* error) {
+    if (error == nullptr) static_cast<Readable*>(socket->data)->ready_();
+  });
+}
+
+Readable::~Readable() { h2o_socket_close(socket_); }
+
+Alarm::Alarm(Loop& loop, std::int64_t period)
+    : descriptor_(make_alarm(period)), readable_(loop, descriptor_, [this] {
+        if (drain<std::uint64_t>(descriptor_)) fired.emit();
+      }) {}
+
+Interrupts::Interrupts(Loop& loop)
+    : descriptor_(make_interrupts()), readable_(loop, descriptor_, [this] {
+        if (drain<signalfd_siginfo>(descriptor_)) raised.emit();
+      }) {}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/shell/node.cpp
@@ -0,0 +1,116 @@
+#include "shell/node.hpp"
+
+#include "core/control.hpp"
+#include "core/data.hpp"
+
+namespace weldsail {
+namespace {
+
+constexpr Moment message_due = 3000;
+constexpr std::size_t message_limit = 64U << 20U;
+constexpr std::size_t open_limit = 4096;
+
+template <typename... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+
+}  // namespace
+
+template <typename State>
+Node<State>::Node(const Place& place, State state)
+    : place_(place), state_(std::move(state)), peers_(loop_, message_limit), callers_(loop_, place.body_limit),
+      client_(loop_), interrupts_(loop_) {}
+
+template <typename State>
+std::error_code Node<State>::start() {
+  Started started{random_number(), {}};
+  if (!place_.folder.empty()) {
+    disk_.emplace(loop_, place_.folder);
+    auto records = disk_->start();
+    if (!records) return records.error();
+    started.records = std::move(*records);
+    disk_->persisted.connect([this](const Persisted& event) { events_.push_back(event); });
+  }
+  if (const auto listening = peers_.listen(place_.peers); !listening) return listening.error();
+  if (const auto listening = callers_.listen(place_.callers); !listening) return listening.error();
+  peers_.arrived.connect([this](const RequestArrived& request) { on_peer(request); });
+  callers_.arrived.connect([this](const RequestArrived& request) { events_.push_back(request); });
+  callers_.gone.connect([this](std::uint64_t request) { events_.push_back(RequestGone{request}); });
+  client_.told.connect([this](const Event& event) { events_.push_back(event); });
+  interrupts_.raised.connect([this] { events_.push_back(Leaving{}); });
+  alarm_.emplace(loop_, place_.tick);
+  alarm_->fired.connect([this] {
+    client_.sweep(monotonic_now());
+    callers_.sweep();
+    events_.push_back(Ticked{random_number()});
+  });
+  log_note({"process.start", {{"peers", place_.peers}, {"callers", place_.callers}, {"folder", place_.folder}}, false});
+  take(started);
+  return {};
+}
+
+template <typename State>
+void Node<State>::run() {
+  while (!departed_) {
+    while (!events_.empty()) {
+      const auto event = std::move(events_.front());
+      events_.pop_front();
+      take(event);
+    }
+    loop_.step(events_.empty() ? 1000 : 0);
+  }
+  callers_.close();
+  peers_.close();
+  for (int turn = 0; turn < 20; ++turn) loop_.step(10);
+  log_note({"process.end", {}, false});
+}
+
+template <typename State>
+void Node<State>::take(const Event& event) {
+  auto effects = reduce(state_, event, monotonic_now());
+  for (auto& effect : effects) carry_out(effect);
+}
+
+template <typename State>
+void Node<State>::on_peer(const RequestArrived& request) {
+  wire::Envelope envelope;
+  const bool read = envelope.ParseFromString(request.body);
+  peers_.answer({request.request, read ? 204 : 400, {}, {}});
+  if (read) events_.push_back(MessageArrived{std::move(envelope)});
+}
+
+template <typename State>
+void Node<State>::send(const SendMessage& effect) {
+  if (effect.address == place_.peers) {
+    events_.push_back(MessageArrived{effect.envelope});
+    return;
+  }
+  if (client_.open_pipes() > open_limit) return;
+  client_.open({next_message_++, effect.address, "POST", "/v1/peer", {{"content-type", "application/x-protobuf"}},
+                effect.envelope.SerializeAsString(), false, monotonic_now() + message_due});
+}
+
+template <typename State>
+void Node<State>::carry_out(Effect& effect) {
+  std::visit(Overloaded{
+                 [this](const SendMessage& item) { send(item); },
+                 [this](const OpenPipe& item) { client_.open(item); },
+                 [this](const CancelPipe& item) { client_.cancel(item.pipe); },
+                 [this](const Answer& item) { callers_.answer(item); },
+                 [this](const AnswerHead& item) { callers_.head(item); },
+                 [this](const AnswerBytes& item) { callers_.bytes(item); },
+                 [this](const AnswerEnd& item) { callers_.end(item); },
+                 [this](const Persist& item) {
+                   if (disk_) disk_->persist(item);
+                 },
+                 [](const Note& item) { log_note(item); },
+                 [this](const Depart&) { departed_ = true; },
+             },
+             effect);
+}
+
+template class Node<ControlState>;
+template class Node<DataState>;
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/shell/node.hpp
@@ -0,0 +1,51 @@
+#pragma once
+#include <deque>
+#include <optional>
+
+#include "shell/client.hpp"
+#include "shell/disk.hpp"
+#include "shell/log.hpp"
+#include "shell/server.hpp"
+
+namespace weldsail {
+
+/// Where a process listens and keeps its files.
+struct Place {
+  std::string peers;
+  std::string callers;
+  std::string folder;
+  std::size_t body_limit = 1U << 20U;
+  Moment tick = 25;
+};
+
+/// Runs a program's reducer: events in, effects out.
+template <typename State>
+class Node {
+ public:
+  Node(const Place& place, State state);
+  /// Begins to listen and starts the program.
+  std::error_code start();
+  /// Runs until the program departs.
+  void run();
+
+ private:
+  void take(const Event& event);
+  void carry_out(Effect& effect);
+  void send(const SendMessage& effect);
+  void on_peer(const RequestArrived& request);
+
+  Place place_;
+  State state_;
+  Loop loop_;
+  Server peers_;
+  Server callers_;
+  Client client_;
+  std::optional<Disk> disk_;
+  std::optional<Alarm> alarm_;
+  Interrupts interrupts_;
+  std::deque<Event> events_;
+  std::uint64_t next_message_ = 1ULL << 60U;
+  bool departed_ = false;
+};
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/shell/options.hpp
@@ -0,0 +1,16 @@
+#pragma once
+#include <string>
+#include <vector>
+
+#include "core/outcome.hpp"
+
+namespace weldsail {
+
+/// The command line with the values of an options file put before it; flags given win.
+Outcome<std::vector<std::string>> options_with_file(int count, char** arguments);
+/// Splits "a,b,c".
+std::vector<std::string> options_list(const std::string& text);
+/// What is wrong with an address, or nothing.
+std::string address_fault(const std::string& name, const std::string& address);
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/shell/server.hpp
@@ -0,0 +1,57 @@
+#pragma once
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/effect.hpp"
+#include "core/outcome.hpp"
+#include "shell/loop.hpp"
+
+namespace weldsail {
+
+/// An HTTP listener: tells of whole requests and takes answers by request number.
+class Server {
+ public:
+  Server(Loop& loop, std::size_t body_limit);
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+  ~Server();
+  /// Listens on "host:port"; port 0 takes a free one.
+  Outcome<std::string> listen(const std::string& address);
+  /// Stops taking connections.
+  void close();
+
+  sigc::signal<void(const RequestArrived&)> arrived;
+  sigc::signal<void(std::uint64_t)> gone;
+
+  void answer(const Answer& effect);
+  void head(const AnswerHead& effect);
+  void bytes(const AnswerBytes& effect);
+  void end(const AnswerEnd& effect);
+  /// Looks for askers that have closed their connection.
+  void sweep();
+
+ private:
+  struct Pending;
+  struct Handler;
+  static int on_request(h2o_handler_t* handler, h2o_req_t* request);
+  static void on_accept(h2o_socket_t* listener, const char* error);
+  static void on_proceed(h2o_generator_t* generator, h2o_req_t* request);
+  static void on_dispose(void* pending);
+  void flush(Pending& pending);
+  Pending* find(std::uint64_t request);
+  void start(Pending& pending, int status, const std::vector<Header>& headers, std::size_t length);
+
+  Loop& loop_;
+  h2o_globalconf_t configuration_{};
+  h2o_context_t context_{};
+  h2o_accept_ctx_t accept_{};
+  h2o_socket_t* listener_ = nullptr;
+  std::map<std::uint64_t, Pending*> pending_;
+  std::uint64_t next_ = 1;
+};
+
+/// Splits "host:port"; nothing when it isn't an IP number and a port.
+Outcome<sockaddr_in> read_address(const std::string& address);
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/wsctl/main.cpp
@@ -0,0 +1,40 @@
+#include <tclap/CmdLine.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "core/operate.hpp"
+#include "shell/options.hpp"
+#include "wsctl/command.hpp"
+
+namespace {
+
+constexpr const char* usage_text =
+    "config get | config put FILE | config check FILE | config change FILE | config history |\n"
+    "  config outcome CHANGE | members | workers | placements | holds | status | drain NAME | undrain NAME\n"
+    "  NAME is worker:ADDRESS, node:ADDRESS or locality:NAME";
+
+}  // namespace
+
+int main(int count, char** arguments) {
+  TCLAP::CmdLine line("wsctl: operates weldsail through any of its nodes", ' ', "0.1.0");
+  TCLAP::ValueArg<std::string> node("", "node", "callers' address of any node", true, "", "ip:port", line);
+  TCLAP::SwitchArg json("", "json", "print the answer as it came", line);
+  TCLAP::ValueArg<std::string> base("", "base", "version that a change is built on; the newest when left out", false,
+                                    "", "version", line);
+  TCLAP::ValueArg<std::string> change("", "change", "id of the change, to send it again safely", false, "", "id", line);
+  TCLAP::ValueArg<std::int64_t> within("", "within-ms", "longest wait for an answer", false, 10000, "ms", line);
+  TCLAP::UnlabeledMultiArg<std::string> words("command", usage_text, true, "command", line);
+  line.parse(count, arguments);
+  if (auto fault = weldsail::address_fault("--node", node.getValue()); !fault.empty()) {
+    std::cerr << "wsctl: " << fault << "\n";
+    return weldsail::exit_usage;
+  }
+  const weldsail::CommandOptions options{node.getValue(), json.getValue(),   base.getValue(),
+                                         change.getValue(), within.getValue(), words.getValue()};
+  const auto result = weldsail::run_command(options);
+  std::cout << result.text;
+  std::cerr << result.trouble;
+  return result.code;
+}
--- /dev/null
+++ b/test/tools/backworker.cpp
@@ -0,0 +1,238 @@
+#include "tools/backworker.hpp"
+
+#include <algorithm>
+
+#include "core/json.hpp"
+#include "core/operate.hpp"
+#include "core/prefix.hpp"
+
+namespace weldsail {
+
+BackWorker::BackWorker(Loop& loop, BackPlan plan, BackStore& store)
+    : loop_(loop), plan_(std::move(plan)), store_(store) {}
+
+Outcome<std::string> BackWorker::listen() {
+  server_ = std::make_unique<Server>(loop_, 16U << 20U);
+  server_->arrived.connect([this](const RequestArrived& request) { take(request); });
+  server_->gone.connect([this](std::uint64_t request) { active_.erase(request); });
+  auto listening = server_->listen(plan_.address);
+  if (listening) plan_.address = *listening;
+  return listening;
+}
+
+bool BackWorker::control(const std::string& action) {
+  if (action == "kill") {
+    dead_ = true;
+    server_->close();
+    std::vector<std::uint64_t> requests;
+    for (const auto& [request, active] : active_) requests.push_back(request);
+    for (const auto request : requests) server_->end({request, false});
+    active_.clear();
+    models_.clear();
+    adapters_.clear();
+  } else if (action == "revive" && dead_) {
+    dead_ = false;
+    highest_epoch_ = 0;
+    plan_.instance += "." + std::to_string(++births_);
+    return static_cast<bool>(server_->listen(plan_.address));
+  } else if (action == "freeze") {
+    frozen_ = true;
+  } else if (action == "wake") {
+    frozen_ = false;
+    for (const auto& request : std::exchange(frozen_requests_, {})) take(request);
+  } else if (action == "drain" || action == "undrain") {
+    draining_ = action == "drain";
+  } else if (action == "cut") {
+    const auto cut = std::exchange(active_, {});
+    for (const auto& [request, active] : cut) server_->end({request, false});
+  } else if (action == "refuse_unload") {
+    refuse_unload_ = true;
+  } else if (action == "empty") {
+    models_.clear();
+    adapters_.clear();
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void BackWorker::refuse(std::uint64_t request, int status, const std::string& code) {
+  JsonText text;
+  text.object().field("code", code).close();
+  server_->answer({request, status, {{"content-type", "application/json"}, {"weldsail-not-run", "1"}}, text.text()});
+}
+
+void BackWorker::take(const RequestArrived& request) {
+  if (dead_) {
+    server_->answer({request.request, 500, {}, {}});
+    return;
+  }
+  if (frozen_) {
+    frozen_requests_.push_back(request);
+    return;
+  }
+  if (request.path == "/v1/status")
+    server_->answer({request.request, 200, {{"content-type", "application/json"}}, status_text()});
+  else if (request.path == "/v1/run")
+    take_run(request);
+  else if (request.method == "POST")
+    take_order(request);
+  else
+    refuse(request.request, 404, "no_such_path");
+}
+
+void BackWorker::take_run(const RequestArrived& request) {
+  const auto number = request.request;
+  if (header_value(request.headers, "weldsail-instance") != plan_.instance ||
+      header_value(request.headers, "weldsail-service") != plan_.service)
+    return refuse(number, 409, "of_another_worker");
+  if (draining_) return refuse(number, 503, "draining");
+  const auto run = header_value(request.headers, "weldsail-run");
+  const auto now = monotonic_now();
+  if (plan_.phase == "call") {
+    runs_.push_back({run, plan_.instance, 0, 0, false});
+    active_[number] = {runs_.size() - 1, 0, 1, now + plan_.piece_ms, {}, true, false, 0};
+    return;
+  }
+  const auto model = header_value(request.headers, "weldsail-model");
+  const auto held = models_.find(model);
+  if (held == models_.end() || now < held->second.second) return refuse(number, 409, "model_not_held");
+  const auto adapter = header_value(request.headers, "weldsail-adapter");
+  const auto fitted = adapters_.find(adapter);
+  if (!adapter.empty() && (fitted == adapters_.end() || now < fitted->second))
+    return refuse(number, 409, "adapter_not_held");
+  rapidjson::Document body;
+  body.Parse(request.body.data(), request.body.size());
+  const auto resume = header_value(request.headers, "weldsail-resume");
+  const auto from = resume.empty() ? 0 : std::stoull(resume);
+  runs_.push_back({run, plan_.instance, from, from, false});
+  Active active{runs_.size() - 1, from, static_cast<std::uint64_t>(json_number_at(body, "/max_tokens", 16)), 0, model,
+                false, true, json_string_at(body, "/prompt").size() / bytes_per_token};
+  active_[number] = active;
+  server_->head({number, 200, {{"content-type", "text/event-stream"}}});
+}
+
+void BackWorker::take_order(const RequestArrived& request) {
+  rapidjson::Document body;
+  body.Parse(request.body.data(), request.body.size());
+  const auto epoch = body.HasParseError() ? 0 : static_cast<std::uint64_t>(json_number_at(body, "/epoch"));
+  const auto name = body.HasParseError() ? std::string() : json_string_at(body, "/name");
+  int status = 409;
+  if (epoch >= highest_epoch_ && json_string_at(body, "/instance") == plan_.instance && !name.empty()) {
+    highest_epoch_ = epoch;
+    status = obey(request.path, name, json_string_at(body, "/model"),
+                  static_cast<std::int64_t>(json_number_at(body, "/weights_mb")));
+  }
+  orders_.push_back({monotonic_now(), epoch, request.path, name, status});
+  server_->answer({request.request, status, {{"content-type", "application/json"}}, "{}"});
+}
+
+int BackWorker::obey(const std::string& path, const std::string& name, const std::string& model,
+                     std::int64_t weights) {
+  const auto now = monotonic_now();
+  if (path == "/v1/models/load") {
+    std::int64_t taken = weights;
+    for (const auto& [held, state] : models_) taken += state.first;
+    if (models_.contains(name)) return 200;
+    if (taken > plan_.room_mb) ++breaches_;
+    if (taken > plan_.room_mb) return 507;
+    store_.pulls.push_back(now);
+    models_[name] = {weights, now + plan_.load_ms};
+    return 200;
+  }
+  if (path == "/v1/models/unload") {
+    if (refuse_unload_) return 500;
+    models_.erase(name);
+    return 200;
+  }
+  if (path == "/v1/adapters/load") {
+    if (adapters_.contains(name)) return 200;
+    if (adapters_.size() >= plan_.adapter_capacity || !models_.contains(model)) {
+      ++breaches_;
+      return 507;
+    }
+    store_.pulls.push_back(now);
+    adapters_[name] = now + plan_.load_ms / 4;
+    return 200;
+  }
+  if (path != "/v1/adapters/unload") return 404;
+  adapters_.erase(name);
+  return 200;
+}
+
+void BackWorker::advance(std::uint64_t request, Active& active, Moment now) {
+  auto& record = runs_[active.record];
+  if (active.call) {
+    if (now < active.at) return;
+    record.finished = true;
+    JsonText text;
+    text.object().field("run", record.run).field("granted", "yes").close();
+    server_->answer({request, 200, {{"content-type", "application/json"}}, text.text()});
+    active.at = -1;
+    return;
+  }
+  while (active.next < active.until && now >= active.at) {
+    JsonText text;
+    text.object().field("run", record.run).number("piece", active.next).field("text", "w" + std::to_string(active.next));
+    text.close();
+    server_->bytes({request, "data: " + text.text() + "\n\n"});
+    record.pieces = ++active.next;
+    active.at += plan_.piece_ms;
+  }
+  if (active.next < active.until) return;
+  JsonText text;
+  text.object().field("run", record.run).truth("final", true).number("pieces", active.next).close();
+  record.finished = true;
+  server_->bytes({request, "data: " + text.text() + "\n\n"});
+  server_->end({request, true});
+  active.at = -1;
+}
+
+void BackWorker::tick(Moment now) {
+  if (dead_ || frozen_) return;
+  server_->sweep();
+  std::uint64_t running = 0;
+  for (const auto& [request, active] : active_)
+    if (!active.queued) ++running;
+  std::vector<std::uint64_t> requests;
+  for (const auto& [request, active] : active_) requests.push_back(request);
+  for (const auto request : requests) {
+    const auto found = active_.find(request);
+    if (found == active_.end()) continue;
+    auto& active = found->second;
+    if (active.queued) {
+      if (running >= plan_.slots) continue;
+      ++running;
+      active.queued = false;
+      active.at = now + static_cast<Moment>(static_cast<double>(active.prompt_tokens) / plan_.prefill_tokens_per_s * 1000);
+    }
+    advance(request, active, now);
+    if (active.at < 0) active_.erase(request);
+  }
+}
+
+std::string BackWorker::status_text() const {
+  const auto now = monotonic_now();
+  std::uint64_t waiting = 0;
+  for (const auto& [request, active] : active_)
+    if (active.queued) ++waiting;
+  JsonText text;
+  text.object().field("instance", plan_.instance).field("service", plan_.service).field("cell", plan_.cell);
+  text.field("locality", plan_.locality).field("phase", plan_.phase);
+  text.number("room_mb", static_cast<std::uint64_t>(plan_.room_mb)).number("slots", plan_.slots);
+  text.number("adapter_capacity", plan_.adapter_capacity).number("running", active_.size() - waiting);
+  text.number("waiting", waiting).truth("draining", draining_).key("models").array();
+  for (const auto& [name, state] : models_) {
+    const auto runs = std::ranges::count_if(active_, [&](const auto& item) { return item.second.model == name; });
+    text.object().field("name", name).number("weights_mb", static_cast<std::uint64_t>(state.first));
+    text.field("state", now < state.second ? "loading" : "ready").number("running", static_cast<std::uint64_t>(runs));
+    text.close();
+  }
+  text.end().key("adapters").array();
+  for (const auto& [name, ready] : adapters_)
+    text.object().field("name", name).field("state", now < ready ? "loading" : "ready").close();
+  text.end().close();
+  return text.text();
+}
+
+}  // namespace weldsail
