--- /dev/null
+++ b/test/sim/fleet.hpp
@@ -0,0 +1,35 @@
+#pragma once
+#include "sim/simback.hpp"
+
+namespace weldsail::sim {
+
+/// What a simulated fleet is like.
+struct FleetPlan {
+  std::size_t control = 3;
+  std::size_t data = 3;
+  std::size_t localities = 3;
+  std::size_t model_workers = 6;
+  std::size_t call_workers = 2;
+  std::size_t models = 6;
+  double loads_per_s = 2;
+  Moment sync_most = 4;
+  std::int64_t room_mb = 40;
+};
+
+/// A fleet in its world, started.
+struct Fleet {
+  Fleet(std::uint64_t seed, const FleetPlan& plan);
+  World world;
+  FleetPlan plan;
+  std::unique_ptr<SimBacks> backs;
+  std::vector<std::string> controls;
+  std::vector<std::string> datas;
+  /// A configuration for the fleet; the mark makes it differ from others.
+  std::string document(const std::string& mark) const;
+  /// Adds a control node on an empty disk; it isn't started.
+  void add_control(const std::string& address, std::size_t place);
+  /// The first alive control node's view of who holds a key; empty when nobody does.
+  std::string holder(const std::string& key) const;
+};
+
+}  // namespace weldsail::sim
--- /dev/null
+++ b/test/sim/scenarios.hpp
@@ -0,0 +1,16 @@
+#pragma once
+#include <string>
+#include <vector>
+
+namespace weldsail::sim {
+
+/// What a scenario found, and figures worth printing.
+struct ScenarioResult {
+  std::vector<std::string> faults;
+  std::vector<std::pair<std::string, double>> figures;
+};
+
+/// The configuration as one register under loss, kills, cuts, freezes, stalls and lost writes.
+ScenarioResult run_register(std::uint64_t seed);
+
+}  // namespace weldsail::sim
--- /dev/null
+++ b/test/sim/world.cpp
@@ -0,0 +1,246 @@
+#include "sim/world.hpp"
+
+namespace weldsail::sim {
+
+void World::add(SimNode node) {
+  const auto address = node.address;
+  node.offset = chance.between(1, 1000000000);
+  nodes_.emplace(address, std::move(node));
+}
+
+void World::start(const std::string& address) {
+  auto& node = nodes_.at(address);
+  node.state = node.make();
+  node.alive = true;
+  node.frozen = false;
+  ++node.life;
+  const auto life = node.life;
+  step(node, Started{chance.number(), node.disk});
+  at(now_ + chance.between(1, tick), [this, address, life] { tick_node(address, life); });
+}
+
+void World::kill(const std::string& address) {
+  auto& node = nodes_.at(address);
+  if (!node.alive) return;
+  node.alive = node.frozen = false;
+  ++node.life;
+  const auto survives = chance.below(node.unsynced.size() + 1);
+  for (std::size_t place = 0; place < survives; ++place)
+    for (const auto& [name, bytes] : node.unsynced[place].second) node.disk[name] = bytes;
+  node.unsynced.clear();
+  node.inbox.clear();
+  for (auto& [request, told] : std::exchange(node.told, {})) {
+    const auto asker = node.askers.find(request);
+    if (asker == node.askers.end()) continue;
+    told.ended = true;
+    told.at = now_;
+    asker->second(told);
+  }
+  node.askers.clear();
+}
+
+void World::freeze(const std::string& address) { nodes_.at(address).frozen = nodes_.at(address).alive; }
+
+void World::wake(const std::string& address) {
+  auto& node = nodes_.at(address);
+  if (!node.frozen) return;
+  node.frozen = false;
+  const auto life = node.life;
+  for (auto& event : std::exchange(node.inbox, {}))
+    if (node.life == life) step(node, event);
+}
+
+void World::empty_disk(const std::string& address) {
+  auto& node = nodes_.at(address);
+  node.disk.clear();
+  node.unsynced.clear();
+}
+
+void World::leave(const std::string& address) { give(address, nodes_.at(address).life, Leaving{}); }
+
+void World::cut(const std::set<std::string>& left, const std::set<std::string>& right) {
+  cuts_.emplace_back(left, right);
+}
+
+void World::heal() { cuts_.clear(); }
+
+bool World::blocked(const std::string& from, const std::string& to) const {
+  for (const auto& [left, right] : cuts_)
+    if ((left.contains(from) && right.contains(to)) || (left.contains(to) && right.contains(from))) return true;
+  return false;
+}
+
+void World::at(Moment when, std::function<void()> action) {
+  scheduled_.push({std::max(when, now_), order_++, std::move(action)});
+}
+
+void World::run_until(Moment when) {
+  while (!scheduled_.empty() && scheduled_.top().when <= when) {
+    auto next = scheduled_.top();
+    scheduled_.pop();
+    now_ = next.when;
+    next.action();
+  }
+  now_ = when;
+}
+
+void World::tick_node(const std::string& address, std::uint64_t life) {
+  auto& node = nodes_.at(address);
+  if (!node.alive || node.life != life) return;
+  if (!node.frozen) step(node, Ticked{chance.number()});
+  at(now_ + tick, [this, address, life] { tick_node(address, life); });
+}
+
+void World::give(const std::string& address, std::uint64_t life, Event event) {
+  auto& node = nodes_.at(address);
+  if (!node.alive || node.life != life) return;
+  if (node.frozen)
+    node.inbox.push_back(std::move(event));
+  else
+    step(node, event);
+}
+
+std::uint64_t World::ask(const std::string& address, RequestArrived request,
+                         std::function<void(const Told&)> answered) {
+  auto& node = nodes_.at(address);
+  if (!node.alive) {
+    Told told;
+    told.ended = true;
+    told.at = now_;
+    answered(told);
+    return 0;
+  }
+  request.request = node.next_request++;
+  const auto number = request.request;
+  node.askers[number] = std::move(answered);
+  node.told[number] = {};
+  give(address, node.life, std::move(request));
+  return number;
+}
+
+const ControlState* World::control(const std::string& address) const {
+  return std::get_if<ControlState>(&nodes_.at(address).state);
+}
+
+const DataState* World::data(const std::string& address) const {
+  return std::get_if<DataState>(&nodes_.at(address).state);
+}
+
+void World::step(SimNode& node, const Event& event) {
+  ++steps;
+  const auto life = node.life;
+  auto effects = std::visit([&](auto& state) { return reduce(state, event, now_ + node.offset); }, node.state);
+  for (const auto& effect : effects) {
+    if (node.life != life) return;
+    carry_out(node, effect);
+  }
+  if (stepped) stepped(node);
+}
+
+void World::tell(SimNode& node, std::uint64_t request, const std::function<void(Told&)>& change, bool ended) {
+  const auto found = node.told.find(request);
+  if (found == node.told.end()) return;
+  change(found->second);
+  if (!ended) return;
+  auto told = std::move(found->second);
+  told.ended = true;
+  told.at = now_;
+  node.told.erase(found);
+  const auto asker = node.askers.find(request);
+  if (asker == node.askers.end()) return;
+  auto answered = std::move(asker->second);
+  node.askers.erase(asker);
+  answered(told);
+}
+
+void World::carry_out(SimNode& node, const Effect& effect) {
+  if (const auto* item = std::get_if<SendMessage>(&effect)) send(node, *item);
+  if (const auto* item = std::get_if<OpenPipe>(&effect)) open(node, *item);
+  if (const auto* item = std::get_if<Persist>(&effect)) persist(node, *item);
+  if (const auto* item = std::get_if<CancelPipe>(&effect))
+    for (auto& [address, back_end] : back_ends) back_end.cancel(node.address, item->pipe);
+  if (const auto* item = std::get_if<Answer>(&effect))
+    tell(node, item->request,
+         [&](Told& told) {
+           told.status = item->status;
+           told.headers = item->headers;
+           told.body = item->body;
+           told.whole = true;
+         },
+         true);
+  if (const auto* item = std::get_if<AnswerHead>(&effect))
+    tell(node, item->request,
+         [&](Told& told) {
+           told.status = item->status;
+           told.headers = item->headers;
+         },
+         false);
+  if (const auto* item = std::get_if<AnswerBytes>(&effect))
+    tell(node, item->request, [&](Told& told) { told.body += item->bytes; }, false);
+  if (const auto* item = std::get_if<AnswerEnd>(&effect))
+    tell(node, item->request, [&](Told& told) { told.whole = item->whole; }, true);
+  if (std::holds_alternative<Depart>(effect)) {
+    const auto address = node.address;
+    at(now_, [this, address] { kill(address); });
+  }
+}
+
+void World::send(SimNode& node, const SendMessage& effect) {
+  ++node.messages;
+  const bool own = effect.address == node.address;
+  if (!own && (chance.happens(loss) || !nodes_.contains(effect.address))) return;
+  const auto from = node.address;
+  const auto arrival = own ? now_ : now_ + chance.between(0, delay_most);
+  const auto bytes = effect.envelope.SerializeAsString();
+  at(arrival, [this, from, to = effect.address, bytes] {
+    auto& target = nodes_.at(to);
+    if (!target.alive || blocked(from, to)) return;
+    wire::Envelope envelope;
+    envelope.ParseFromString(bytes);
+    give(to, target.life, MessageArrived{std::move(envelope)});
+  });
+}
+
+void World::open(SimNode& node, const OpenPipe& effect) {
+  const auto address = node.address;
+  const auto life = node.life;
+  const auto due = effect.due - node.offset;
+  const auto found = back_ends.find(effect.address);
+  const bool there = found != back_ends.end() && found->second.reachable() && !blocked(address, effect.address);
+  if (!there) {
+    const bool silent = found != back_ends.end() && blocked(address, effect.address);
+    at(silent ? due : now_ + 1, [this, address, life, pipe = effect.pipe] {
+      give(address, life, PipeEnded{pipe, false, false, "refused"});
+    });
+    return;
+  }
+  at(now_ + chance.between(0, delay_most), [this, address, life, effect] {
+    const auto back_end = back_ends.find(effect.address);
+    if (back_end != back_ends.end()) back_end->second.open(address, life, effect);
+  });
+  at(due, [this, address, life, pipe = effect.pipe] { give(address, life, PipeEnded{pipe, false, true, "past due"}); });
+}
+
+void World::persist(SimNode& node, const Persist& effect) {
+  const auto address = node.address;
+  const auto life = node.life;
+  if (node.disk_full) {
+    at(now_ + 1, [this, address, life, token = effect.token] { give(address, life, Persisted{token, false}); });
+    return;
+  }
+  node.unsynced.emplace_back(effect.token, effect.records);
+  node.disk_free_at = std::max(node.disk_free_at, now_) + chance.between(node.sync_least, node.sync_most);
+  at(node.disk_free_at, [this, address, life, token = effect.token] {
+    auto& owner = nodes_.at(address);
+    if (!owner.alive || owner.life != life) return;
+    while (!owner.unsynced.empty()) {
+      const auto [synced, records] = owner.unsynced.front();
+      owner.unsynced.erase(owner.unsynced.begin());
+      for (const auto& [name, bytes] : records) owner.disk[name] = bytes;
+      if (synced == token) break;
+    }
+    give(address, life, Persisted{token, true});
+  });
+}
+
+}  // namespace weldsail::sim
--- /dev/null
+++ b/test/sim/world.hpp
@@ -0,0 +1,132 @@
+#pragma once
+#include <functional>
+#include <queue>
+#include <random>
+#include <set>
+#include <variant>
+
+#include "core/control.hpp"
+#include "core/data.hpp"
+
+namespace weldsail::sim {
+
+/// Seeded chance, the same on every machine.
+class Chance {
+ public:
+  explicit Chance(std::uint64_t seed) : engine_(seed) {}
+  std::uint64_t number() { return engine_(); }
+  std::uint64_t below(std::uint64_t limit) { return limit == 0 ? 0 : engine_() % limit; }
+  Moment between(Moment least, Moment most) {
+    return least + static_cast<Moment>(below(static_cast<std::uint64_t>(most - least + 1)));
+  }
+  bool happens(double share) { return static_cast<double>(engine_() >> 11U) * 0x1.0p-53 < share; }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+/// A back end in the simulated world, found by address.
+struct BackEnd {
+  /// Takes a request of a node's pipe.
+  std::function<void(const std::string& node, std::uint64_t life, const OpenPipe& pipe)> open;
+  std::function<void(const std::string& node, std::uint64_t pipe)> cancel;
+  std::function<bool()> reachable;
+};
+
+/// What an asker has been told so far.
+struct Told {
+  int status = 0;
+  std::vector<Header> headers;
+  std::string body;
+  bool ended = false;
+  bool whole = false;
+  Moment at = 0;
+};
+
+/// One of our processes with its machine.
+struct SimNode {
+  std::string address;
+  std::string locality;
+  std::variant<ControlState, DataState> state;
+  std::function<std::variant<ControlState, DataState>()> make;
+  bool has_disk = false;
+  bool alive = false;
+  bool frozen = false;
+  bool disk_full = false;
+  std::uint64_t life = 0;
+  Moment offset = 0;
+  Moment sync_least = 1;
+  Moment sync_most = 4;
+  Moment disk_free_at = 0;
+  Records disk;
+  std::vector<std::pair<std::uint64_t, std::vector<std::pair<std::string, std::string>>>> unsynced;
+  std::vector<Event> inbox;
+  std::map<std::uint64_t, std::function<void(const Told&)>> askers;
+  std::map<std::uint64_t, Told> told;
+  std::uint64_t next_request = 1;
+  std::uint64_t messages = 0;
+};
+
+/// A whole fleet on virtual clocks, network and disks.
+class World {
+ public:
+  explicit World(std::uint64_t seed) : chance(seed) {}
+
+  void add(SimNode node);
+  void start(const std::string& address);
+  /// Ends a process at once; what was not synced may be lost.
+  void kill(const std::string& address);
+  void freeze(const std::string& address);
+  void wake(const std::string& address);
+  void empty_disk(const std::string& address);
+  void leave(const std::string& address);
+  /// Blocks all traffic between the two sets of addresses.
+  void cut(const std::set<std::string>& left, const std::set<std::string>& right);
+  void heal();
+  bool blocked(const std::string& from, const std::string& to) const;
+
+  void at(Moment when, std::function<void()> action);
+  void run_until(Moment when);
+  /// Gives an event to a node's process of the given life.
+  void give(const std::string& address, std::uint64_t life, Event event);
+  /// Asks a node as a caller or operator; the answer may never come.
+  std::uint64_t ask(const std::string& address, RequestArrived request, std::function<void(const Told&)> answered);
+
+  SimNode& node(const std::string& address) { return nodes_.at(address); }
+  std::map<std::string, SimNode>& nodes() { return nodes_; }
+  const ControlState* control(const std::string& address) const;
+  const DataState* data(const std::string& address) const;
+  Moment now() const { return now_; }
+
+  Chance chance;
+  double loss = 0;
+  Moment delay_most = 3;
+  Moment tick = 50;
+  std::map<std::string, BackEnd> back_ends;
+  /// Called after every step of a node.
+  std::function<void(SimNode&)> stepped;
+  std::uint64_t steps = 0;
+
+ private:
+  struct Scheduled {
+    Moment when;
+    std::uint64_t order;
+    std::function<void()> action;
+    bool operator>(const Scheduled& other) const { return std::pair(when, order) > std::pair(other.when, other.order); }
+  };
+  void step(SimNode& node, const Event& event);
+  void carry_out(SimNode& node, const Effect& effect);
+  void send(SimNode& node, const SendMessage& effect);
+  void open(SimNode& node, const OpenPipe& effect);
+  void persist(SimNode& node, const Persist& effect);
+  void tell(SimNode& node, std::uint64_t request, const std::function<void(Told&)>& change, bool ended);
+  void tick_node(const std::string& address, std::uint64_t life);
+
+  std::priority_queue<Scheduled, std::vector<Scheduled>, std::greater<>> scheduled_;
+  std::map<std::string, SimNode> nodes_;
+  std::vector<std::pair<std::set<std::string>, std::set<std::string>>> cuts_;
+  Moment now_ = 1;
+  std::uint64_t order_ = 0;
+};
+
+}  // namespace weldsail::sim
--- a/test/tools/back.cpp
+++ b/test/tools/back.cpp
@@ -4,6 +4,44 @@
 
 namespace weldsail {
 
+BackWorker::BackWorker(Loop& loop, BackPlan plan, BackStore& store) : loop_(loop), model_(std::move(plan), store) {}
+
+Outcome<std::string> BackWorker::listen() {
+  server_ = std::make_unique<Server>(loop_, 16U << 20U);
+  server_->arrived.connect([this](const RequestArrived& request) {
+    model_.take(request, monotonic_now());
+    carry_out();
+  });
+  server_->gone.connect([this](std::uint64_t request) { model_.gone(request); });
+  auto listening = server_->listen(model_.plan().address);
+  if (listening) model_.moved(*listening);
+  return listening;
+}
+
+void BackWorker::carry_out() {
+  for (const auto& effect : model_.effects()) {
+    if (const auto* item = std::get_if<Answer>(&effect)) server_->answer(*item);
+    if (const auto* item = std::get_if<AnswerHead>(&effect)) server_->head(*item);
+    if (const auto* item = std::get_if<AnswerBytes>(&effect)) server_->bytes(*item);
+    if (const auto* item = std::get_if<AnswerEnd>(&effect)) server_->end(*item);
+  }
+}
+
+void BackWorker::tick(Moment now) {
+  server_->sweep();
+  model_.tick(now);
+  carry_out();
+}
+
+bool BackWorker::control(const std::string& action) {
+  const bool dead = model_.dead();
+  const bool done = model_.control(action, monotonic_now());
+  carry_out();
+  if (model_.dead() && !dead) server_->close();
+  if (!model_.dead() && dead) return done && server_->listen(model_.plan().address);
+  return done;
+}
+
 Back::Back(Loop& loop, PlatformPlan plan, std::vector<BackPlan> workers, double loads_per_s)
     : server_(loop, 1U << 20U), plan_(std::move(plan)), store_{loads_per_s, {}} {
   for (auto& worker : workers) workers_.push_back(std::make_unique<BackWorker>(loop, std::move(worker), store_));
@@ -24,8 +62,8 @@
   JsonText text;
   text.object().key("workers").array();
   for (const auto& worker : workers_)
-    if (!worker->dead())
-      text.object().field("address", worker->plan().address).field("service", worker->plan().service).close();
+    if (!worker->model().dead())
+      text.object().field("address", worker->model().plan().address).field("service", worker->model().plan().service).close();
   text.end().close();
   return text.text();
 }
@@ -58,7 +96,7 @@
     body.Parse(request.body.data(), request.body.size());
     bool done = false;
     for (auto& worker : workers_)
-      if (worker->plan().address == json_string_at(body, "/worker"))
+      if (worker->model().plan().address == json_string_at(body, "/worker"))
         done = worker->control(json_string_at(body, "/action"));
     server_.answer({request.request, done ? 200 : 400, {}, "{}"});
   } else {
@@ -72,12 +110,12 @@
   for (const auto pull : store_.pulls) text.out().Int64(pull);
   text.end().key("workers").array();
   for (const auto& worker : workers_) {
-    text.object().field("address", worker->plan().address).number("breaches", worker->breaches()).key("runs").array();
-    for (const auto& run : worker->runs())
+    text.object().field("address", worker->model().plan().address).number("breaches", worker->model().breaches()).key("runs").array();
+    for (const auto& run : worker->model().runs())
       text.object().field("run", run.run).number("from", run.from).number("pieces", run.pieces)
           .truth("finished", run.finished).close();
     text.end().key("orders").array();
-    for (const auto& order : worker->orders())
+    for (const auto& order : worker->model().orders())
       text.object().number("when", static_cast<std::uint64_t>(order.when)).number("epoch", order.epoch)
           .field("path", order.path).field("name", order.name).number("answer", static_cast<std::uint64_t>(order.answer))
           .close();
--- a/test/tools/back.hpp
+++ b/test/tools/back.hpp
@@ -2,7 +2,8 @@
 #include <deque>
 #include <memory>
 
-#include "tools/backworker.hpp"
+#include "shell/server.hpp"
+#include "tools/backmodel.hpp"
 
 namespace weldsail {
 
@@ -13,6 +14,22 @@
   Moment lag_ms = 1000;
 };
 
+/// A stand-in worker on its own listener.
+class BackWorker {
+ public:
+  BackWorker(Loop& loop, BackPlan plan, BackStore& store);
+  Outcome<std::string> listen();
+  void tick(Moment now);
+  bool control(const std::string& action);
+  const BackModel& model() const { return model_; }
+
+ private:
+  void carry_out();
+  Loop& loop_;
+  BackModel model_;
+  std::unique_ptr<Server> server_;
+};
+
 /// Stand-in workers, store and platform in one process, with their records.
 class Back {
  public:
--- a/test/tools/backworker.cpp
+++ b/test/tools/backmodel.cpp
@@ -1,4 +1,4 @@
-#include "tools/backworker.hpp"
+#include "tools/backmodel.hpp"
 
 #include <algorithm>
 
@@ -7,44 +7,40 @@
 #include "core/prefix.hpp"
 
 namespace weldsail {
+namespace {
 
-BackWorker::BackWorker(Loop& loop, BackPlan plan, BackStore& store)
-    : loop_(loop), plan_(std::move(plan)), store_(store) {}
+constexpr Moment late_after = 3000;
 
-Outcome<std::string> BackWorker::listen() {
-  server_ = std::make_unique<Server>(loop_, 16U << 20U);
-  server_->arrived.connect([this](const RequestArrived& request) { take(request); });
-  server_->gone.connect([this](std::uint64_t request) { active_.erase(request); });
-  auto listening = server_->listen(plan_.address);
-  if (listening) plan_.address = *listening;
-  return listening;
+}  // namespace
+
+void BackModel::cut_all() {
+  for (const auto& [request, active] : std::exchange(active_, {})) effects_.push_back(AnswerEnd{request, false});
 }
 
-bool BackWorker::control(const std::string& action) {
-  if (action == "kill") {
-    dead_ = true;
-    server_->close();
-    std::vector<std::uint64_t> requests;
-    for (const auto& [request, active] : active_) requests.push_back(request);
-    for (const auto request : requests) server_->end({request, false});
-    active_.clear();
+bool BackModel::control(const std::string& action, Moment now) {
+  static const std::string takes_over = "service:";
+  if (action == "kill" || action.starts_with(takes_over)) {
+    cut_all();
     models_.clear();
     adapters_.clear();
-  } else if (action == "revive" && dead_) {
-    dead_ = false;
     highest_epoch_ = 0;
+    dead_ = action == "kill";
+    frozen_ = draining_ = false;
+    frozen_requests_.clear();
     plan_.instance += "." + std::to_string(++births_);
-    return static_cast<bool>(server_->listen(plan_.address));
+    if (!dead_) plan_.service = action.substr(takes_over.size());
+  } else if (action == "revive") {
+    dead_ = false;
   } else if (action == "freeze") {
     frozen_ = true;
   } else if (action == "wake") {
     frozen_ = false;
-    for (const auto& request : std::exchange(frozen_requests_, {})) take(request);
+    for (const auto& request : std::exchange(frozen_requests_, {})) take(request, now);
   } else if (action == "drain" || action == "undrain") {
     draining_ = action == "drain";
+    drained_at_ = now;
   } else if (action == "cut") {
-    const auto cut = std::exchange(active_, {});
-    for (const auto& [request, active] : cut) server_->end({request, false});
+    cut_all();
   } else if (action == "refuse_unload") {
     refuse_unload_ = true;
   } else if (action == "empty") {
@@ -56,15 +52,15 @@
   return true;
 }
 
-void BackWorker::refuse(std::uint64_t request, int status, const std::string& code) {
+void BackModel::refuse(std::uint64_t request, int status, const std::string& code) {
   JsonText text;
   text.object().field("code", code).close();
-  server_->answer({request, status, {{"content-type", "application/json"}, {"weldsail-not-run", "1"}}, text.text()});
+  effects_.push_back(Answer{request, status, {{"content-type", "application/json"}, {"weldsail-not-run", "1"}}, text.text()});
 }
 
-void BackWorker::take(const RequestArrived& request) {
+void BackModel::take(const RequestArrived& request, Moment now) {
   if (dead_) {
-    server_->answer({request.request, 500, {}, {}});
+    effects_.push_back(Answer{request.request, 500, {}, {}});
     return;
   }
   if (frozen_) {
@@ -72,25 +68,29 @@
     return;
   }
   if (request.path == "/v1/status")
-    server_->answer({request.request, 200, {{"content-type", "application/json"}}, status_text()});
+    effects_.push_back(Answer{request.request, 200, {{"content-type", "application/json"}}, status_text(now)});
   else if (request.path == "/v1/run")
-    take_run(request);
+    take_run(request, now);
   else if (request.method == "POST")
-    take_order(request);
+    take_order(request, now);
   else
     refuse(request.request, 404, "no_such_path");
 }
 
-void BackWorker::take_run(const RequestArrived& request) {
+void BackModel::take_run(const RequestArrived& request, Moment now) {
   const auto number = request.request;
+  ++asks_;
+  if (draining_ && now - drained_at_ > late_after) ++late_asks_;
   if (header_value(request.headers, "weldsail-instance") != plan_.instance ||
       header_value(request.headers, "weldsail-service") != plan_.service)
     return refuse(number, 409, "of_another_worker");
   if (draining_) return refuse(number, 503, "draining");
+  rapidjson::Document body;
+  body.Parse(request.body.data(), request.body.size());
+  const auto caller = body.IsObject() ? json_string_at(body, "/caller") : std::string();
   const auto run = header_value(request.headers, "weldsail-run");
-  const auto now = monotonic_now();
   if (plan_.phase == "call") {
-    runs_.push_back({run, plan_.instance, 0, 0, false});
+    runs_.push_back({run, caller, plan_.service, {}, now, 0, 0, false, draining_});
     active_[number] = {runs_.size() - 1, 0, 1, now + plan_.piece_ms, {}, true, false, 0};
     return;
   }
@@ -101,18 +101,16 @@
   const auto fitted = adapters_.find(adapter);
   if (!adapter.empty() && (fitted == adapters_.end() || now < fitted->second))
     return refuse(number, 409, "adapter_not_held");
-  rapidjson::Document body;
-  body.Parse(request.body.data(), request.body.size());
   const auto resume = header_value(request.headers, "weldsail-resume");
   const auto from = resume.empty() ? 0 : std::stoull(resume);
-  runs_.push_back({run, plan_.instance, from, from, false});
+  runs_.push_back({run, caller, plan_.service, model, now, from, from, false, draining_});
   Active active{runs_.size() - 1, from, static_cast<std::uint64_t>(json_number_at(body, "/max_tokens", 16)), 0, model,
                 false, true, json_string_at(body, "/prompt").size() / bytes_per_token};
   active_[number] = active;
-  server_->head({number, 200, {{"content-type", "text/event-stream"}}});
+  effects_.push_back(AnswerHead{number, 200, {{"content-type", "text/event-stream"}}});
 }
 
-void BackWorker::take_order(const RequestArrived& request) {
+void BackModel::take_order(const RequestArrived& request, Moment now) {
   rapidjson::Document body;
   body.Parse(request.body.data(), request.body.size());
   const auto epoch = body.HasParseError() ? 0 : static_cast<std::uint64_t>(json_number_at(body, "/epoch"));
@@ -121,15 +119,14 @@
   if (epoch >= highest_epoch_ && json_string_at(body, "/instance") == plan_.instance && !name.empty()) {
     highest_epoch_ = epoch;
     status = obey(request.path, name, json_string_at(body, "/model"),
-                  static_cast<std::int64_t>(json_number_at(body, "/weights_mb")));
+                  static_cast<std::int64_t>(json_number_at(body, "/weights_mb")), now);
   }
-  orders_.push_back({monotonic_now(), epoch, request.path, name, status});
-  server_->answer({request.request, status, {{"content-type", "application/json"}}, "{}"});
+  orders_.push_back({now, epoch, request.path, name, status});
+  effects_.push_back(Answer{request.request, status, {{"content-type", "application/json"}}, "{}"});
 }
 
-int BackWorker::obey(const std::string& path, const std::string& name, const std::string& model,
-                     std::int64_t weights) {
-  const auto now = monotonic_now();
+int BackModel::obey(const std::string& path, const std::string& name, const std::string& model,
+                    std::int64_t weights, Moment now) {
   if (path == "/v1/models/load") {
     std::int64_t taken = weights;
     for (const auto& [held, state] : models_) taken += state.first;
@@ -160,22 +157,22 @@
   return 200;
 }
 
-void BackWorker::advance(std::uint64_t request, Active& active, Moment now) {
+void BackModel::advance(std::uint64_t request, Active& active, Moment now) {
   auto& record = runs_[active.record];
   if (active.call) {
     if (now < active.at) return;
     record.finished = true;
     JsonText text;
-    text.object().field("run", record.run).field("granted", "yes").close();
-    server_->answer({request, 200, {{"content-type", "application/json"}}, text.text()});
+    text.object().field("run", record.run).field("granted", record.caller).close();
+    effects_.push_back(Answer{request, 200, {{"content-type", "application/json"}}, text.text()});
     active.at = -1;
     return;
   }
   while (active.next < active.until && now >= active.at) {
     JsonText text;
-    text.object().field("run", record.run).number("piece", active.next).field("text", "w" + std::to_string(active.next));
+    text.object().field("run", record.run).number("piece", active.next).field("text", record.caller + ":" + std::to_string(active.next));
     text.close();
-    server_->bytes({request, "data: " + text.text() + "\n\n"});
+    effects_.push_back(AnswerBytes{request, "data: " + text.text() + "\n\n"});
     record.pieces = ++active.next;
     active.at += plan_.piece_ms;
   }
@@ -183,14 +180,13 @@
   JsonText text;
   text.object().field("run", record.run).truth("final", true).number("pieces", active.next).close();
   record.finished = true;
-  server_->bytes({request, "data: " + text.text() + "\n\n"});
-  server_->end({request, true});
+  effects_.push_back(AnswerBytes{request, "data: " + text.text() + "\n\n"});
+  effects_.push_back(AnswerEnd{request, true});
   active.at = -1;
 }
 
-void BackWorker::tick(Moment now) {
+void BackModel::tick(Moment now) {
   if (dead_ || frozen_) return;
-  server_->sweep();
   std::uint64_t running = 0;
   for (const auto& [request, active] : active_)
     if (!active.queued) ++running;
@@ -211,8 +207,7 @@
   }
 }
 
-std::string BackWorker::status_text() const {
-  const auto now = monotonic_now();
+std::string BackModel::status_text(Moment now) const {
   std::uint64_t waiting = 0;
   for (const auto& [request, active] : active_)
     if (active.queued) ++waiting;
--- a/test/tools/backworker.hpp
+++ b/test/tools/backmodel.hpp
@@ -2,9 +2,10 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
-#include "shell/server.hpp"
+#include "core/effect.hpp"
 
 namespace weldsail {
 
@@ -27,10 +28,14 @@
 /// One run as its worker saw it.
 struct BackRun {
   std::string run;
-  std::string instance;
+  std::string caller;
+  std::string service;
+  std::string model;
+  Moment when = 0;
   std::uint64_t from = 0;
   std::uint64_t pieces = 0;
   bool finished = false;
+  bool draining = false;
 };
 
 /// One order as its worker saw it.
@@ -48,19 +53,28 @@
   std::vector<Moment> pulls;
 };
 
-/// A stand-in worker on its own listener.
-class BackWorker {
+/// A stand-in worker: requests in, answers out as effects; it does no I/O.
+class BackModel {
  public:
-  BackWorker(Loop& loop, BackPlan plan, BackStore& store);
-  Outcome<std::string> listen();
+  BackModel(BackPlan plan, BackStore& store) : plan_(std::move(plan)), store_(store) {}
+  void take(const RequestArrived& request, Moment now);
+  void gone(std::uint64_t request) { active_.erase(request); }
   void tick(Moment now);
-  /// kill, revive, freeze, wake, drain, undrain, cut (break runs), refuse_unload, empty.
-  bool control(const std::string& action);
+  /// kill, revive, freeze, wake, drain, undrain, cut, refuse_unload, empty, or service:NAME (another takes the address).
+  bool control(const std::string& action, Moment now);
+  /// Answers since the last call.
+  Effects effects() { return std::exchange(effects_, {}); }
+  void moved(const std::string& address) { plan_.address = address; }
   const BackPlan& plan() const { return plan_; }
   const std::vector<BackRun>& runs() const { return runs_; }
   const std::vector<BackOrder>& orders() const { return orders_; }
   std::uint64_t breaches() const { return breaches_; }
   bool dead() const { return dead_; }
+  bool frozen() const { return frozen_; }
+  /// Runs that were asked for after 3 s of draining.
+  std::uint64_t late_asks() const { return late_asks_; }
+  /// All runs that were asked for, the refused ones too.
+  std::uint64_t asks() const { return asks_; }
 
  private:
   struct Active {
@@ -73,18 +87,18 @@
     bool queued = false;
     std::uint64_t prompt_tokens = 0;
   };
-  void take(const RequestArrived& request);
-  void take_run(const RequestArrived& request);
-  void take_order(const RequestArrived& request);
-  int obey(const std::string& path, const std::string& name, const std::string& model, std::int64_t weights);
+  void take_run(const RequestArrived& request, Moment now);
+  void take_order(const RequestArrived& request, Moment now);
+  int obey(const std::string& path, const std::string& name, const std::string& model, std::int64_t weights,
+           Moment now);
   void refuse(std::uint64_t request, int status, const std::string& code);
   void advance(std::uint64_t request, Active& active, Moment now);
-  std::string status_text() const;
+  void cut_all();
+  std::string status_text(Moment now) const;
 
-  Loop& loop_;
   BackPlan plan_;
   BackStore& store_;
-  std::unique_ptr<Server> server_;
+  Effects effects_;
   std::map<std::string, std::pair<std::int64_t, Moment>> models_;
   std::map<std::string, Moment> adapters_;
   std::map<std::uint64_t, Active> active_;
@@ -94,6 +108,9 @@
   std::uint64_t highest_epoch_ = 0;
   std::uint64_t breaches_ = 0;
   std::uint64_t births_ = 1;
+  std::uint64_t late_asks_ = 0;
+  std::uint64_t asks_ = 0;
+  Moment drained_at_ = 0;
   bool draining_ = false;
   bool frozen_ = false;
   bool dead_ = false;
--- /dev/null
+++ b/test/unit/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/test/unit/registersim.cpp
@@ -0,0 +1,22 @@
+#include <catch2/catch.hpp>
+
+#include "sim/scenarios.hpp"
+
+using namespace weldsail::sim;
+
+namespace {
+
+void check(const ScenarioResult& result) {
+  for (const auto& fault : result.faults) UNSCOPED_INFO(fault);
+  CHECK(result.faults.empty());
+}
+
+}  // namespace
+
+TEST_CASE("configuration is one linearizable register under loss, kills, cuts, freezes and lost writes") {
+  const auto seed = GENERATE(range(1, 13));
+  CAPTURE(seed);
+  const auto result = run_register(static_cast<std::uint64_t>(seed));
+  check(result);
+  CHECK(result.figures.at(1).second >= 1);
+}
