Confirm ownership by newest round per disk; give other takers the bound

With one-way delays up to 400 ms an answer to a confirmation round came after the next round had begun and was dropped, so the owner never confirmed and gave the key up, again and again. Change: a round is named by the moment it was sent, the newest per disk counts, and the majority's newest is the confirmation; a node that has seen another's prepare leaves it the bound to finish.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -124,6 +124,8 @@
   if (own != 0 && envelope.cluster() != 0 && own != envelope.cluster()) return;
   if (envelope.to() != 0 && envelope.to() != state.member.self.node()) return;
   acceptor_receive(state.acceptor, state.member, envelope, effects);
+  if (envelope.has_prepare() && envelope.from() != state.member.self.node())
+    duty_tried(state.duty, envelope.prepare().key(), now);
   if (envelope.has_ping()) {
     const auto known = news_known(state.news);
     member_receive(state.member, envelope, known, now, effects);
--- a/src/core/duty.cpp
+++ b/src/core/duty.cpp
@@ -43,7 +43,7 @@
   const auto* holder = duty_holder(member, owner.key);
   if (holder != nullptr) {
     const auto epoch = claimed_epoch(*holder, owner.key);
-    if (epoch > view.epoch) view = {holder->node(), epoch, now, std::nullopt};
+    if (epoch > view.epoch) view = {holder->node(), epoch, now, std::nullopt, std::nullopt};
     owner.seen_epoch = std::max(owner.seen_epoch, epoch);
     view.vacant_since.reset();
     return false;
@@ -51,12 +51,15 @@
   if (!core.formed() || core_seat(core, member.self.disk()) == 0 || member.leaving) return false;
   if (!view.vacant_since) view.vacant_since = now;
   if (view.epoch != 0 && now - view.changed < state.bound) return false;
+  if (view.tried_elsewhere && now - *view.tried_elsewhere < state.bound) return false;
   const auto rank = static_cast<Moment>(own_rank(member, core, owner.key));
   if (now - *view.vacant_since < rank * state.bound / staggers_per_bound) return false;
   if (now - owner.since < state.bound / staggers_per_bound) return false;
   return owner.phase == OwnerPhase::idle;
 }
 
+void duty_tried(DutyState& state, const std::string& key, Moment now) { state.views[key].tried_elsewhere = now; }
+
 void duty_claim(MemberState& member, const std::map<std::string, RegisterState>& owners) {
   wire::Member claimed = member.self;
   claimed.clear_holdings();
--- a/src/core/duty.hpp
+++ b/src/core/duty.hpp
@@ -9,6 +9,7 @@
   std::uint64_t epoch = 0;
   Moment changed = 0;
   std::optional<Moment> vacant_since;
+  std::optional<Moment> tried_elsewhere;
 };
 
 /// The duty part: decides when this node takes a key.
@@ -26,6 +27,8 @@
 /// True when this node should take the key now.
 bool duty_wanted(DutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
                  Moment now);
+/// Another node has begun to take the key: it gets the bound to finish.
+void duty_tried(DutyState& state, const std::string& key, Moment now);
 /// Puts the keys held here into the own member entry.
 void duty_claim(MemberState& member, const std::map<std::string, RegisterState>& owners);
 
--- a/src/core/register.cpp
+++ b/src/core/register.cpp
@@ -103,9 +103,12 @@
     lose(state, checked.promised(), now, effects);
     return RegisterSignal::lost;
   }
-  if (checked.round() != state.round) return RegisterSignal::none;
-  state.checked.insert(envelope.disk());
-  if (core_majority(core, state.checked)) state.confirmed = std::max(state.confirmed, state.round_sent);
+  auto& newest = state.checked[envelope.disk()];
+  newest = std::max(newest, static_cast<Moment>(checked.round()));
+  std::vector<Moment> rounds;
+  for (const auto& disk : core.disks()) rounds.push_back(state.checked[disk.disk()]);
+  std::ranges::sort(rounds, std::greater<>());
+  state.confirmed = std::max(state.confirmed, rounds[rounds.size() / 2]);
   return RegisterSignal::none;
 }
 
@@ -174,14 +177,12 @@
     return RegisterSignal::lost;
   }
   if (now - state.round_sent < lease / checks_per_lease) return RegisterSignal::none;
-  ++state.round;
   state.round_sent = now;
-  state.checked.clear();
   auto envelope = member_envelope(member, 0);
   auto* check = envelope.mutable_check();
   check->set_key(state.key);
   check->set_epoch(state.epoch);
-  check->set_round(state.round);
+  check->set_round(static_cast<std::uint64_t>(now));
   send_core(member, core, envelope, effects);
   return RegisterSignal::none;
 }
--- a/src/core/register.hpp
+++ b/src/core/register.hpp
@@ -34,9 +34,8 @@
   Moment since = 0;
   Moment confirmed = 0;
   Moment acts_from = 0;
-  std::uint64_t round = 0;
   Moment round_sent = 0;
-  std::set<std::uint64_t> checked;
+  std::map<std::uint64_t, Moment> checked;
 };
 
 /// Seats of a core are below this; epochs are round * stride + seat.
--- a/test/unit/registersim.cpp
+++ b/test/unit/registersim.cpp
@@ -20,3 +20,9 @@
   check(result);
   CHECK(result.figures.at(1).second >= 1);
 }
+
+TEST_CASE("an owner keeps its key when answers take longer than the pause between confirmations") {
+  const auto seed = GENERATE(39, 1005, 3033);
+  CAPTURE(seed);
+  check(run_register(static_cast<std::uint64_t>(seed)));
+}
