--- a/src/core/carry.cpp
+++ b/src/core/carry.cpp
@@ -196,6 +196,21 @@
   carry_drop(state, request, now, effects);
 }
 
+void break_dark(DataState& state, Moment now, Effects& effects) {
+  std::vector<std::uint64_t> dark;
+  for (const auto& [pipe, request] : state.pipes) {
+    const auto& carry = state.carries.at(request);
+    const auto& attempt = carry.ledger.attempts.back();
+    const auto view = state.watch.views.find(attempt.worker);
+    const bool present = view != state.watch.views.end() && worker_present(state.watch, view->second, now);
+    if (!present && now - std::max(attempt.begun, carry.last_bytes) > state.watch.bound) dark.push_back(request);
+  }
+  for (const auto request : dark) {
+    end_attempt(state, state.carries.at(request), AttemptPhase::broken, "worker dark", true, now, effects);
+    carry_move(state, request, now, effects);
+  }
+}
+
 void carry_gone(DataState& state, std::uint64_t request, Effects& effects) {
   if (!state.carries.contains(request)) return;
   ++state.totals.gone;
@@ -216,6 +231,7 @@
     return;
   }
   if (const auto* bytes = std::get_if<PipeBytes>(&event); bytes != nullptr && (carry = find(bytes->pipe)) != nullptr) {
+    carry->last_bytes = now;
     if (carry->route.kind == RouteKind::call || carry->status != 200)
       carry->answer += bytes->bytes;
     else
--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -68,6 +68,7 @@
   news_tick(state.news, state.member, now, effects);
   operate_tick(state.operate, state.member, now, effects);
   watch_tick(state.watch, state.numbers, now, effects);
+  break_dark(state, now, effects);
   std::vector<std::uint64_t> late;
   for (const auto& [request, carry] : state.carries)
     if (now >= carry.ledger.due || (now >= carry.ledger.hold_due && !ledger_open(carry.ledger)))
--- a/src/core/data.hpp
+++ b/src/core/data.hpp
@@ -40,6 +40,7 @@
   std::vector<Header> headers;
   std::string answer;
   Moment last_piece = 0;
+  Moment last_bytes = 0;
 };
 
 /// What was counted for one unit on one worker, since this process began.
@@ -107,6 +108,8 @@
 /// Moves a request on as its ledger says.
 void carry_move(DataState& state, std::uint64_t request, Moment now, Effects& effects);
 void carry_pipe(DataState& state, const Event& event, Moment now, Effects& effects);
+/// Breaks attempts at workers that have been silent for the bound.
+void break_dark(DataState& state, Moment now, Effects& effects);
 void carry_gone(DataState& state, std::uint64_t request, Effects& effects);
 /// Gives waiting requests of a pool to workers, in order.
 void pool_dispatch(DataState& state, const std::string& pool, Moment now, Effects& effects);
--- a/test/sim/scenarios.hpp
+++ b/test/sim/scenarios.hpp
@@ -13,4 +13,7 @@
 /// The configuration as one register under loss, kills, cuts, freezes, stalls and lost writes.
 ScenarioResult run_register(std::uint64_t seed);
 
+/// A day with callers, operators and every kind of trouble.
+ScenarioResult run_day(std::uint64_t seed);
+
 }  // namespace weldsail::sim
--- a/test/sim/world.cpp
+++ b/test/sim/world.cpp
@@ -45,6 +45,7 @@
   auto& node = nodes_.at(address);
   if (!node.frozen) return;
   node.frozen = false;
+  node.woken = now_;
   const auto life = node.life;
   for (auto& event : std::exchange(node.inbox, {}))
     if (node.life == life) step(node, event);
--- a/test/sim/world.hpp
+++ b/test/sim/world.hpp
@@ -58,6 +58,7 @@
   Moment sync_least = 1;
   Moment sync_most = 4;
   Moment disk_free_at = 0;
+  Moment woken = 0;
   Records disk;
   std::vector<std::pair<std::uint64_t, std::vector<std::pair<std::string, std::string>>>> unsynced;
   std::vector<Event> inbox;
