--- a/test/tools/back.cpp
+++ b/test/tools/back.cpp
@@ -125,12 +125,10 @@
   return text.text();
 }
 
-Outcome<std::unique_ptr<Back>> read_back(Loop& loop, const std::string& bytes) {
-  rapidjson::Document document;
-  document.Parse(bytes.data(), bytes.size());
-  const auto* workers = document.HasParseError() ? nullptr : rapidjson::Pointer("/workers").Get(document);
-  if (workers == nullptr || !workers->IsArray()) return broke_down(Breakdown::malformed);
+std::vector<BackPlan> read_back_plans(const rapidjson::Value& document) {
   std::vector<BackPlan> plans;
+  const auto* workers = rapidjson::Pointer("/workers").Get(document);
+  if (workers == nullptr || !workers->IsArray()) return plans;
   for (const auto& item : workers->GetArray()) {
     BackPlan plan;
     plan.address = json_string_at(item, "/address");
@@ -147,6 +145,14 @@
     plan.prefill_tokens_per_s = json_number_at(item, "/prefill_tokens_per_s", 2000);
     plans.push_back(std::move(plan));
   }
+  return plans;
+}
+
+Outcome<std::unique_ptr<Back>> read_back(Loop& loop, const std::string& bytes) {
+  rapidjson::Document document;
+  document.Parse(bytes.data(), bytes.size());
+  if (document.HasParseError() || !document.IsObject()) return broke_down(Breakdown::malformed);
+  auto plans = read_back_plans(document);
   PlatformPlan platform{json_string_at(document, "/platform/address"),
                         static_cast<Moment>(json_number_at(document, "/platform/pace_ms", 500)),
                         static_cast<Moment>(json_number_at(document, "/platform/lag_ms", 1000))};
--- a/test/tools/back.hpp
+++ b/test/tools/back.hpp
@@ -2,6 +2,7 @@
 #include <deque>
 #include <memory>
 
+#include "core/json.hpp"
 #include "shell/server.hpp"
 #include "tools/backmodel.hpp"
 
@@ -58,6 +59,8 @@
   std::uint64_t refused_ = 0;
 };
 
+/// Reads the workers of a plan document.
+std::vector<BackPlan> read_back_plans(const rapidjson::Value& document);
 /// Reads a plan document ({"platform": {...}, "store": {...}, "workers": [...]}).
 Outcome<std::unique_ptr<Back>> read_back(Loop& loop, const std::string& bytes);
 
