--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -25,11 +25,19 @@
 
 Moment pull_gap(double loads_per_s) { return static_cast<Moment>(1000 / loads_per_s * pace_margin) + 1; }
 
+struct WantedLoad {
+  std::pair<int, Moment> rank;
+  const WorkerView* view;
+  OrderKind kind;
+  std::string name;
+};
+
 struct Giver {
   OrderState& state;
   const FitInput& input;
   PipeNumbers& numbers;
   Effects& effects;
+  std::vector<WantedLoad> wanted = {};
 
   bool load_open() const {
     return std::ranges::any_of(state.open, [](const auto& item) { return is_load(item.second.kind); });
@@ -82,7 +90,24 @@
     return false;
   }
 
-  bool load(const wire::WorkerRecord& record, const WorkerView& view) {
+  bool loaded_somewhere(const std::string& name, bool adapter) const {
+    const auto reported = std::ranges::any_of(input.watch->views, [&](const auto& item) {
+      const auto& status = item.second.status;
+      return status && (adapter ? status->adapters.contains(name) : status->models.contains(name));
+    });
+    return reported || std::ranges::any_of(state.ordered, [&](const auto& item) {
+      return std::ranges::any_of(item.second, [&](const OrderedLoad& load) { return load.name == name; });
+    });
+  }
+
+  void want(const WorkerView& view, OrderKind kind, const std::string& name, const std::string& unit) {
+    const auto demand = input.demand.find(unit);
+    const bool waited = demand != input.demand.end() && demand->second.waiting > 0;
+    const bool needed = waited && !loaded_somewhere(name, kind == OrderKind::load_adapter);
+    wanted.push_back({{needed ? 0 : 1, waited ? -demand->second.oldest : 0}, &view, kind, name});
+  }
+
+  void want_loads(const wire::WorkerRecord& record, const WorkerView& view) {
     const auto& ordered = state.ordered[view.address];
     const auto under_way = [&](const std::string& name) {
       return std::ranges::any_of(ordered, [&](const OrderedLoad& item) { return item.name == name; });
@@ -91,20 +116,25 @@
       const auto model = unit_model(unit);
       const auto options = input.document->models.find(model);
       if (options == input.document->models.end() || view.status->models.contains(model) || under_way(model)) continue;
-      if (room_taken(input, record) <= view.status->room_mb) return give(view, OrderKind::load_model, model);
+      if (room_taken(input, record) <= view.status->room_mb) want(view, OrderKind::load_model, model, unit);
     }
     const auto adapters_ordered = static_cast<std::uint64_t>(
         std::ranges::count_if(ordered, [](const OrderedLoad& item) { return item.adapter; }));
+    if (view.status->adapters.size() + adapters_ordered >= view.status->adapter_capacity) return;
     for (const auto& adapter : record.adapters()) {
       if (view.status->adapters.contains(adapter) || under_way(adapter)) continue;
       const auto options = input.document->adapters.find(adapter);
       if (options == input.document->adapters.end()) continue;
       const auto model = view.status->models.find(options->second);
       if (model == view.status->models.end() || model->second.state != "ready") continue;
-      if (view.status->adapters.size() + adapters_ordered < view.status->adapter_capacity)
-        return give(view, OrderKind::load_adapter, adapter);
+      for (const auto& unit : record.units())
+        if (unit_model(unit) == options->second) want(view, OrderKind::load_adapter, adapter, unit);
     }
-    return false;
+  }
+
+  void give_wanted() {
+    const auto most = std::ranges::min_element(wanted, {}, &WantedLoad::rank);
+    if (most != wanted.end()) give(*most->view, most->kind, most->name);
   }
 };
 
@@ -141,8 +171,9 @@
     const auto ended = state.ended_at.find(record.address());
     if (ended != state.ended_at.end() && view.heard <= ended->second) continue;
     if (busy || (retry != state.retry_at.end() && input.now < retry->second)) continue;
-    if (!giver.retire(record, view) && !view.status->draining) giver.load(record, view);
+    if (!giver.retire(record, view) && !view.status->draining) giver.want_loads(record, view);
   }
+  giver.give_wanted();
 }
 
 void orders_pipe(OrderState& state, const Event& event, Moment now, Effects& effects) {
