Idempotency keys by votes of the core disks; a flipped length no longer cuts a disk

Cause (disk): the frame's length was not checksummed, so a flipped bit in it looked like a torn tail and everything behind it was cut, promises too. The test flips bits in mark, length, checksum and payload; byte 5 failed. Headers now carry a checksum of their own. Ruled out: payload checks (bytes 16, 30 were refused before).

--- a/src/core/carry.cpp
+++ b/src/core/carry.cpp
@@ -158,6 +158,7 @@
   end_attempt(state, carry, AttemptPhase::broken, "dropped", true, now, effects);
   const auto name = carry.pool;
   std::erase(state.pools[name].waiting, request);
+  state.claiming.erase(request);
   state.carries.erase(found);
 }
 
@@ -185,6 +186,7 @@
   if (move == Move::end_in_error) end_in_error(state, carry, effects);
   if (move == Move::give_up_not_run) {
     ++state.totals.not_run;
+    if (carry.claim) claim_release(*carry.claim, state.member, state.formation.core, effects);
     refuse_caller(request, 503, carry.ledger.attempts.empty() ? "no_worker_ready" : "worker_broke_down", "not_run", 2,
                   effects);
   }
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -108,6 +108,7 @@
 void on_start(ControlState& state, const Started& event, Moment now, Effects& effects) {
   state.random = event.random;
   acceptor_start(state.acceptor, event.records);
+  vote_start(state.vote, event.records, now);
   const auto disk = formation_start(state.formation, event.records, event.random, state.options.has_disk, effects);
   member_start(state.member, event.random, disk, now);
   if (state.formation.phase == CorePhase::formed) state.member.self.set_cluster(state.formation.core.cluster());
@@ -124,6 +125,8 @@
   if (own != 0 && envelope.cluster() != 0 && own != envelope.cluster()) return;
   if (envelope.to() != 0 && envelope.to() != state.member.self.node()) return;
   acceptor_receive(state.acceptor, state.member, envelope, effects);
+  if (envelope.has_claim() && state.options.has_disk)
+    vote_receive(state.vote, state.member, envelope, now, effects);
   if (envelope.has_prepare() && envelope.from() != state.member.self.node())
     duty_tried(state.duty, envelope.prepare().key(), now);
   if (envelope.has_ping()) {
@@ -177,6 +180,7 @@
         duty_wanted(state.duty, state.member, state.formation.core, owner, now))
       register_prepare(owner, state.member, state.formation.core, now, effects);
   }
+  vote_tick(state.vote, now, effects);
   news_tick(state.news, state.member, now, effects);
   operate_tick(state.operate, state.member, now, effects);
   config_tick(state.config_duty, state.member, state.formation.core, state.owners[config_key], now, effects);
@@ -205,7 +209,7 @@
   state.member.options.program = Program::control;
   const auto bound = options.member.bound;
   state.formation.core_size = options.core_size;
-  state.duty.bound = state.news.bound = state.operate.bound = state.steward.bound = bound;
+  state.duty.bound = state.vote.bound = state.news.bound = state.operate.bound = state.steward.bound = bound;
   state.steward.platform.address = options.platform;
   state.steward.platform.pace = options.platform_pace;
   for (const auto* key : {config_key, placement_key}) {
@@ -229,6 +233,7 @@
   }
   if (const auto* persisted = std::get_if<Persisted>(&event)) {
     acceptor_persisted(state.acceptor, state.member, *persisted, effects);
+    vote_persisted(state.vote, state.member, *persisted, effects);
     formation_persisted(state.formation, state.member, *persisted, effects);
   }
   if (std::holds_alternative<Leaving>(event)) on_leave(state, now, effects);
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -2,6 +2,7 @@
 #include "core/configduty.hpp"
 #include "core/news.hpp"
 #include "core/steward.hpp"
+#include "core/vote.hpp"
 
 namespace weldsail {
 
@@ -19,6 +20,7 @@
   ControlOptions options;
   MemberState member;
   AcceptorState acceptor;
+  VoteState vote;
   FormationState formation;
   DutyState duty;
   NewsState news;
--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -45,6 +45,7 @@
     use_news(state, effects);
   }
   if (envelope.has_operated()) operate_answered(state.operate, envelope, effects);
+  if (envelope.has_claimed()) claims_receive(state, envelope, now, effects);
   if (envelope.has_counter_ask())
     report_counters(state, envelope.from(), envelope.address(), envelope.counter_ask().round(), now, effects);
 }
@@ -68,6 +69,7 @@
   news_tick(state.news, state.member, now, effects);
   operate_tick(state.operate, state.member, now, effects);
   watch_tick(state.watch, state.numbers, now, effects);
+  claims_tick(state, now, effects);
   break_dark(state, now, effects);
   std::vector<std::uint64_t> late;
   for (const auto& [request, carry] : state.carries)
@@ -93,6 +95,8 @@
   for (const auto request : held) {
     ++state.totals.not_run;
     const bool ran = ledger_may_have_run(state.carries.at(request).ledger);
+    const auto& claim = state.carries.at(request).claim;
+    if (claim && !ran) claim_release(*claim, state.member, state.formation.core, effects);
     if (!state.carries.at(request).ledger.answer_begun)
       refuse_caller(request, ran ? 502 : 503, "leaving", ran ? "unknown" : "not_run", 1, effects);
     else
--- a/src/core/data.hpp
+++ b/src/core/data.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "core/attempt.hpp"
 #include "core/budget.hpp"
+#include "core/claim.hpp"
 #include "core/news.hpp"
 #include "core/operate.hpp"
 #include "core/prefix.hpp"
@@ -34,6 +35,7 @@
   std::vector<std::uint64_t> blocks;
   Moment arrived = 0;
   Ledger ledger;
+  std::optional<ClaimState> claim;
   StreamReader reader;
   int status = 0;
   bool refused = false;
@@ -87,6 +89,7 @@
   PipeNumbers numbers;
   std::map<std::uint64_t, Carry> carries;
   std::map<std::uint64_t, std::uint64_t> pipes;
+  std::set<std::uint64_t> claiming;
   std::map<std::string, Pool> pools;
   std::map<std::string, Budget> budgets;
   std::map<std::string, std::uint64_t> running;
@@ -108,6 +111,10 @@
 /// Moves a request on as its ledger says.
 void carry_move(DataState& state, std::uint64_t request, Moment now, Effects& effects);
 void carry_pipe(DataState& state, const Event& event, Moment now, Effects& effects);
+/// Moves a request on once its claim is decided.
+void claim_settle(DataState& state, std::uint64_t request, Moment now, Effects& effects);
+void claims_receive(DataState& state, const wire::Envelope& envelope, Moment now, Effects& effects);
+void claims_tick(DataState& state, Moment now, Effects& effects);
 /// Breaks attempts at workers that have been silent for the bound.
 void break_dark(DataState& state, Moment now, Effects& effects);
 void carry_gone(DataState& state, std::uint64_t request, Effects& effects);
--- a/src/core/take.cpp
+++ b/src/core/take.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::uint64_t usual_generation = 256;
+constexpr std::size_t key_limit = 128;
 
 struct Place {
   std::string tenant;
@@ -88,6 +89,13 @@
   if (!read_body(carry)) return refuse(400, "malformed");
   const auto due = read_due(header_value(event.headers, "weldsail-due"), due_limit(*state.document, carry.route));
   if (!due) return refuse(400, "due_unusable");
+  const auto key = header_value(event.headers, "idempotency-key");
+  if (!key.empty() && (!call || key.size() > key_limit)) return refuse(400, "key_unusable");
+  if (!key.empty()) {
+    carry.claim.emplace();
+    carry.claim->key = place->tenant + "/" + place->route + "/" + key;
+    carry.claim->claimer = carry.run;
+  }
   carry.arrived = now;
   carry.ledger.kind = carry.route.kind;
   carry.ledger.resumable = carry.route.resumable;
@@ -101,6 +109,13 @@
   const bool first = pool.waiting.empty();
   const auto request = carry.request;
   state.carries[request] = std::move(carry);
+  auto& claim = state.carries[request].claim;
+  if (claim) {
+    state.claiming.insert(request);
+    claim_begin(*claim, state.member, state.formation.core, now, effects);
+    claim_settle(state, request, now, effects);
+    return;
+  }
   if (first || call)
     carry_move(state, request, now, effects);
   else
--- a/src/shell/diskfile.cpp
+++ b/src/shell/diskfile.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr std::uint32_t frame_mark = 0x31534c57;
-constexpr std::size_t header_size = 12;
+constexpr std::size_t header_size = 16;
+constexpr std::size_t pair_size = 8;
 constexpr std::size_t rewrite_least = 1U << 20U;
 constexpr std::size_t rewrite_ratio = 4;
 
@@ -46,6 +47,7 @@
   put_number(frame, frame_mark);
   put_number(frame, static_cast<std::uint32_t>(payload.size()));
   put_number(frame, checksum(payload.data(), payload.size()));
+  put_number(frame, checksum(frame.data(), frame.size()));
   return frame + payload;
 }
 
@@ -68,33 +70,31 @@
   return cause;
 }
 
-void apply(Records& image, const std::string& name, const std::string& bytes) {
-  if (bytes.empty())
-    image.erase(name);
-  else
-    image[name] = bytes;
+void apply(Records& image, std::size_t& live_size, const std::string& name, const std::string& bytes) {
+  const auto found = image.find(name);
+  if (found != image.end()) live_size -= name.size() + found->second.size() + pair_size;
+  if (bytes.empty()) {
+    if (found != image.end()) image.erase(found);
+    return;
+  }
+  image[name] = bytes;
+  live_size += name.size() + bytes.size() + pair_size;
 }
 
-bool read_payload(Records& image, const std::string& payload) {
+bool read_payload(Records& image, std::size_t& live_size, const std::string& payload) {
   std::size_t place = 0;
   while (place < payload.size()) {
-    if (payload.size() - place < 8) return false;
+    if (payload.size() - place < pair_size) return false;
     const std::size_t name_size = get_number(payload, place);
     const std::size_t bytes_size = get_number(payload, place + 4);
-    place += 8;
+    place += pair_size;
     if (payload.size() - place < name_size + bytes_size) return false;
-    apply(image, payload.substr(place, name_size), payload.substr(place + name_size, bytes_size));
+    apply(image, live_size, payload.substr(place, name_size), payload.substr(place + name_size, bytes_size));
     place += name_size + bytes_size;
   }
   return true;
 }
 
-std::size_t size_of(const Records& image) {
-  std::size_t size = 0;
-  for (const auto& [name, bytes] : image) size += name.size() + bytes.size() + 8;
-  return size;
-}
-
 }  // namespace
 
 DiskFile::~DiskFile() {
@@ -127,30 +127,35 @@
     const auto left = bytes.size() - place;
     if (left < header_size) break;
     const std::size_t length = get_number(bytes, place + 4);
-    const bool marked = get_number(bytes, place) == frame_mark;
+    const bool marked = get_number(bytes, place) == frame_mark &&
+                        checksum(bytes.data() + place, header_size - 4) == get_number(bytes, place + header_size - 4);
     const bool last = !marked ? bytes.find_first_not_of('\0', place) == std::string::npos : left - header_size <= length;
     const bool whole = marked && left - header_size >= length &&
                        checksum(bytes.data() + place + header_size, length) == get_number(bytes, place + 8);
     if (!whole && last) break;
-    if (!whole || !read_payload(image_, bytes.substr(place + header_size, length)))
+    if (!whole || !read_payload(image_, live_size_, bytes.substr(place + header_size, length)))
       return make_error_code(Breakdown::disk_corrupt);
     place += header_size + length;
   }
   size_ = place;
-  live_size_ = size_of(image_);
   return {};
 }
 
 std::error_code DiskFile::append(const std::vector<std::pair<std::string, std::string>>& records) {
-  const auto before = image_;
-  for (const auto& [name, bytes] : records) apply(image_, name, bytes);
-  live_size_ = size_of(image_);
+  std::vector<std::pair<std::string, std::string>> before;
+  for (const auto& [name, bytes] : records) {
+    const auto found = image_.find(name);
+    before.emplace_back(name, found == image_.end() ? std::string() : found->second);
+    apply(image_, live_size_, name, bytes);
+  }
+  const auto undo = [&] {
+    for (auto item = before.rbegin(); item != before.rend(); ++item) apply(image_, live_size_, item->first, item->second);
+    doubtful_ = true;
+  };
   const auto frame = make_frame(records);
   if (doubtful_ || size_ + frame.size() > std::max(rewrite_least, rewrite_ratio * live_size_)) {
     const auto cause = rewrite();
-    if (!cause) return {};
-    image_ = before;
-    doubtful_ = true;
+    if (cause) undo();
     return cause;
   }
   if (write_all(descriptor_, frame) && fdatasync(descriptor_) == 0) {
@@ -159,8 +164,7 @@
     return {};
   }
   const auto cause = last_error();
-  image_ = before;
-  doubtful_ = true;
+  undo();
   return cause;
 }
 
--- a/test/sim/world.hpp
+++ b/test/sim/world.hpp
@@ -53,6 +53,7 @@
   bool alive = false;
   bool frozen = false;
   bool disk_full = false;
+  bool syncing = false;
   std::uint64_t life = 0;
   Moment offset = 0;
   Moment sync_least = 1;
@@ -120,6 +121,8 @@
   void send(SimNode& node, const SendMessage& effect);
   void open(SimNode& node, const OpenPipe& effect);
   void persist(SimNode& node, const Persist& effect);
+  /// Syncs all that waits in one go, then what has come since.
+  void begin_sync(const std::string& address, std::uint64_t life);
   void tell(SimNode& node, std::uint64_t request, const std::function<void(Told&)>& change, bool ended);
   void tick_node(const std::string& address, std::uint64_t life);
 
