--- a/src/core/acceptor.cpp
+++ b/src/core/acceptor.cpp
@@ -102,6 +102,15 @@
   }
 }
 
+std::vector<std::pair<std::string, std::string>> acceptor_records(const AcceptorState& state) {
+  std::vector<std::pair<std::string, std::string>> records;
+  for (const auto& [key, copy] : state.copies) {
+    records.push_back(promise_record(key, copy));
+    records.push_back(copy_record(key, copy));
+  }
+  return records;
+}
+
 void acceptor_receive(AcceptorState& state, const MemberState& member, const wire::Envelope& envelope,
                       Effects& effects) {
   if (envelope.has_prepare()) take_prepare(state, member, envelope, effects);
--- a/src/core/acceptor.hpp
+++ b/src/core/acceptor.hpp
@@ -25,6 +25,9 @@
 /// Sends the answers that waited for the disk; a failed sync gives none.
 void acceptor_persisted(AcceptorState& state, const MemberState& member, const Persisted& event, Effects& effects);
 
+/// All that this disk remembers, as records.
+std::vector<std::pair<std::string, std::string>> acceptor_records(const AcceptorState& state);
+
 /// Prefix of the tokens that belong to the acceptor.
 inline constexpr std::uint64_t acceptor_tokens = 1ULL << 40U;
 
--- a/src/core/claim.cpp
+++ b/src/core/claim.cpp
@@ -5,8 +5,8 @@
 
 void send_claim(const ClaimState& claim, const MemberState& member, const wire::Core& core, bool release,
                 Effects& effects) {
-  for (const auto& disk : core.disks()) {
-    const auto* entry = find_disk(member, disk.disk());
+  for (const auto disk : core_members(core)) {
+    const auto* entry = find_disk(member, disk);
     if (entry == nullptr) continue;
     auto envelope = member_envelope(member, entry->node());
     envelope.mutable_claim()->set_key(claim.key);
@@ -30,8 +30,9 @@
   if (core_seat(core, envelope.disk()) == 0) return;
   (answer.granted() ? claim.granted : claim.refused).insert(envelope.disk());
   if (core_majority(core, claim.granted)) claim.phase = ClaimPhase::granted;
-  const auto left = core.disks_size() - static_cast<int>(claim.refused.size());
-  if (left * 2 <= core.disks_size()) claim.phase = ClaimPhase::taken;
+  auto left = core_members(core);
+  for (const auto disk : claim.refused) left.erase(disk);
+  if (!core_majority(core, left)) claim.phase = ClaimPhase::taken;
 }
 
 void claim_tick(ClaimState& claim, const MemberState& member, const wire::Core& core, Moment bound, Moment now,
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "core/configduty.hpp"
 #include "core/news.hpp"
+#include "core/repair.hpp"
 #include "core/steward.hpp"
 #include "core/vote.hpp"
 
@@ -21,6 +22,7 @@
   MemberState member;
   AcceptorState acceptor;
   VoteState vote;
+  RepairState repair;
   FormationState formation;
   DutyState duty;
   NewsState news;
--- /dev/null
+++ b/src/core/controlmessage.cpp
@@ -0,0 +1,117 @@
+#include "core/controlparts.hpp"
+
+#include <algorithm>
+
+namespace weldsail {
+namespace {
+
+constexpr std::uint64_t learned_tokens = 3ULL << 40U;
+
+bool votes_under_old_core(const ControlState& state, const wire::Envelope& envelope, Effects& effects) {
+  const bool vote = envelope.has_prepare() || envelope.has_accept() || envelope.has_check() ||
+                    (envelope.has_claim() && !envelope.claim().release());
+  if (!vote || CoreTag{envelope.core_epoch(), envelope.core_version()} >= state.member.core_tag) return false;
+  auto answer = member_envelope(state.member, envelope.from());
+  *answer.mutable_news()->mutable_core() = state.formation.core;
+  effects.push_back(SendMessage{envelope.address(), std::move(answer)});
+  return true;
+}
+
+}  // namespace
+
+void control_use_document(ControlState& state) {
+  const auto found = state.news.values.find(config_key);
+  if (found == state.news.values.end() || found->second.version() == state.document_version) return;
+  wire::ConfigValue value;
+  if (!value.ParseFromString(found->second.value())) return;
+  auto read = read_config(value.document());
+  if (!read.faults.empty()) return;
+  state.document = std::move(read.document);
+  state.document_version = found->second.version();
+}
+
+void control_learn(ControlState& state, const wire::RegisterValue& value, Effects& effects) {
+  wire::Core core;
+  if (value.key() == core_key && core.ParseFromString(value.value())) {
+    formation_learn(state.formation, state.member, core, effects);
+    state.repair.committed = std::max(state.repair.committed, core_tag(core));
+  }
+  if (!news_learn(state.news, state.member, state.formation.core, value, effects)) return;
+  note(effects, "news.learned", {{"key", value.key()}, {"version", std::to_string(value.version())}});
+  if (state.options.has_disk)
+    effects.push_back(Persist{learned_tokens, {{control_learned + value.key(), value.SerializeAsString()}}});
+  control_use_document(state);
+}
+
+void control_operate(ControlState& state, const Asker& asker, const wire::Operate& operation, Moment now, Effects& effects) {
+  if (operate_local(state.member, operation, control_status_text(state, now), asker, effects)) return;
+  const auto key = operate_key(operation.path());
+  if (!key) {
+    operate_refuse(state.member, asker, 404, "no_such_path", "refused", {}, effects);
+    return;
+  }
+  if (state.owners[*key].phase != OwnerPhase::holding) {
+    if (asker.node == 0)
+      operate_forward(state.operate, state.member, operation, *key, asker.request, now, effects);
+    else
+      operate_refuse(state.member, asker, 503, "not_owner", "refused", operation.change(), effects);
+    return;
+  }
+  if (*key == config_key)
+    config_take(state.config_duty, {asker, operation, now});
+  else
+    control_operate_placement(state, asker, operation, now, effects);
+}
+
+void control_take_core(ControlState& state, Effects& effects) {
+  const auto found = state.acceptor.copies.find(core_key);
+  wire::Core core;
+  if (found == state.acceptor.copies.end() || found->second.version == 0) return;
+  if (core.ParseFromString(found->second.value)) formation_learn(state.formation, state.member, core, effects);
+}
+
+void control_message(ControlState& state, const wire::Envelope& envelope, Moment now, Effects& effects) {
+  const auto own = state.member.self.cluster();
+  if (own != 0 && envelope.cluster() != 0 && own != envelope.cluster()) return;
+  if (envelope.to() != 0 && envelope.to() != state.member.self.node()) return;
+  if (votes_under_old_core(state, envelope, effects)) return;
+  acceptor_receive(state.acceptor, state.member, envelope, effects);
+  control_take_core(state, effects);
+  if (envelope.has_copy_ask()) repair_asked(state.acceptor, state.vote, state.member, envelope, effects);
+  if (envelope.has_copy_answer())
+    repair_answered(state.repair, state.acceptor, state.vote, state.formation, envelope, now, effects);
+  if (envelope.has_claim() && state.options.has_disk)
+    vote_receive(state.vote, state.member, envelope, now, effects);
+  if (envelope.has_prepare() && envelope.from() != state.member.self.node())
+    duty_tried(state.duty, envelope.prepare().key(), now);
+  if (envelope.has_ping()) {
+    const auto known = news_known(state.news);
+    member_receive(state.member, envelope, known, now, effects);
+    news_heard(state.news, state.member, envelope, effects);
+  }
+  if (envelope.has_form()) formation_receive(state.formation, state.member, envelope, effects);
+  if (envelope.has_news_ask()) news_asked(state.news, state.member, state.formation.core, envelope, effects);
+  if (envelope.has_news()) {
+    state.news.asked.erase(envelope.from());
+    formation_learn(state.formation, state.member, envelope.news().core(), effects);
+    for (const auto& value : envelope.news().values()) control_learn(state, value, effects);
+  }
+  if (envelope.has_operate())
+    control_operate(state, {envelope.operate().request(), envelope.from(), envelope.address()}, envelope.operate(), now, effects);
+  if (envelope.has_operated()) operate_answered(state.operate, envelope, effects);
+  if (envelope.has_counter_report() && state.steward.term != 0) {
+    demand_receive(state.steward.demand, envelope, now);
+    for (const auto& backlog : envelope.counter_report().backlogs())
+      if (backlog.waiting() > 0) state.steward.next_decision = std::min(state.steward.next_decision, now);
+  }
+  const auto key = envelope.has_promise()    ? envelope.promise().key()
+                   : envelope.has_accepted() ? envelope.accepted().key()
+                   : envelope.has_checked()  ? envelope.checked().key()
+                                             : std::string();
+  const auto owner = state.owners.find(key);
+  if (owner == state.owners.end()) return;
+  control_signal(state, owner->second,
+         register_receive(owner->second, state.member, state.formation.core, envelope, now, effects), now, effects);
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/controlparts.hpp
@@ -0,0 +1,23 @@
+#pragma once
+#include "core/control.hpp"
+
+namespace weldsail {
+
+/// Prefix of the records of learned values.
+inline const std::string control_learned = "learned/";
+
+/// Reads the newest learned configuration.
+void control_use_document(ControlState& state);
+/// Takes a committed value.
+void control_learn(ControlState& state, const wire::RegisterValue& value, Effects& effects);
+/// Answers an operator's request, or carries it to the owner.
+void control_operate(ControlState& state, const Asker& asker, const wire::Operate& operation, Moment now,
+                     Effects& effects);
+/// A core that this disk has accepted counts here at once.
+void control_take_core(ControlState& state, Effects& effects);
+/// Takes another process's message.
+void control_message(ControlState& state, const wire::Envelope& envelope, Moment now, Effects& effects);
+/// Tells the parts what has become of a key.
+void control_signal(ControlState& state, RegisterState& owner, RegisterSignal what, Moment now, Effects& effects);
+
+}  // namespace weldsail
--- a/src/core/controlview.cpp
+++ b/src/core/controlview.cpp
@@ -77,11 +77,15 @@
   text.object().field("program", "wscp").field("node", std::to_string(state.member.self.node()));
   text.field("core", cores[static_cast<int>(state.formation.phase)]);
   text.field("cluster", std::to_string(state.formation.core.cluster()));
-  text.number("config_version", state.document_version).key("holds").object();
+  text.number("core_version", state.formation.core.version()).key("core_disks").array();
+  for (const auto& disk : state.formation.core.disks()) text.item(std::to_string(disk.disk()));
+  text.end().key("core_next").array();
+  for (const auto& disk : state.formation.core.next()) text.item(std::to_string(disk.disk()));
+  text.end().number("config_version", state.document_version).key("holds").object();
   for (const auto& [key, owner] : state.owners)
     if (owner.phase == OwnerPhase::holding) text.truth(key.c_str(), register_may_act(owner, now));
   text.close().key("owners").object();
-  for (const auto* key : {config_key, placement_key})
+  for (const auto* key : {config_key, placement_key, core_key})
     if (const auto* holder = duty_holder(state.member, key)) text.field(key, holder->address());
   text.close();
   text.number("orders_sent", state.steward.orders.sent).truth("leaving", state.member.leaving).close();
--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -40,6 +40,9 @@
   if (envelope.has_news()) {
     state.news.asked.erase(envelope.from());
     formation_learn(state.formation, state.member, envelope.news().core(), effects);
+    for (const auto& value : envelope.news().values())
+      if (wire::Core core; value.key() == core_key && core.ParseFromString(value.value()))
+        formation_learn(state.formation, state.member, core, effects);
     for (const auto& value : envelope.news().values())
       news_learn(state.news, state.member, state.formation.core, value, effects);
     use_news(state, effects);
--- a/src/core/duty.cpp
+++ b/src/core/duty.cpp
@@ -9,10 +9,14 @@
 
 constexpr Moment staggers_per_bound = 6;
 
+bool core_voter(const wire::Core& core, std::uint64_t disk) {
+  return std::ranges::any_of(core.disks(), [&](const wire::CoreDisk& item) { return item.disk() == disk; });
+}
+
 std::size_t own_rank(const MemberState& member, const wire::Core& core, const std::string& key) {
   std::vector<std::uint64_t> candidates;
   for (const auto* entry : live_members(member, Program::control))
-    if (core_seat(core, entry->disk()) != 0) candidates.push_back(entry->node());
+    if (core_voter(core, entry->disk())) candidates.push_back(entry->node());
   const auto order = rendezvous_order(digest(key), std::move(candidates));
   return static_cast<std::size_t>(std::ranges::find(order, member.self.node()) - order.begin());
 }
@@ -48,7 +52,7 @@
     view.vacant_since.reset();
     return false;
   }
-  if (!core.formed() || core_seat(core, member.self.disk()) == 0 || member.leaving) return false;
+  if (!core.formed() || !core_voter(core, member.self.disk()) || member.leaving) return false;
   if (!view.vacant_since) view.vacant_since = now;
   if (view.epoch != 0 && now - view.changed < state.bound) return false;
   if (view.tried_elsewhere && now - *view.tried_elsewhere < state.bound) return false;
--- a/src/core/duty.hpp
+++ b/src/core/duty.hpp
@@ -21,6 +21,7 @@
 /// Keys that each have one owner.
 inline constexpr const char* config_key = "config";
 inline constexpr const char* placement_key = "placement";
+inline constexpr const char* core_key = "core";
 
 /// The live member that claims the key under the highest epoch.
 const wire::Member* duty_holder(const MemberState& member, const std::string& key);
--- a/src/core/formation.cpp
+++ b/src/core/formation.cpp
@@ -43,6 +43,7 @@
 void become_formed(FormationState& state, MemberState& member, Effects& effects) {
   state.core.set_formed(true);
   change_phase(state, CorePhase::formed, effects);
+  member.core_tag = core_tag(state.core);
   member.self.set_cluster(state.core.cluster());
   member_announce(member);
 }
@@ -71,6 +72,7 @@
     item->set_disk(disk);
     item->set_seat(++seat);
   }
+  state.core.set_highest_seat(seat);
   state.granted.clear();
   change_phase(state, CorePhase::bound, effects);
   state.waiting[keep_core(state, effects)] = wire::Envelope();
@@ -189,13 +191,21 @@
 }
 
 void formation_learn(FormationState& state, MemberState& member, const wire::Core& core, Effects& effects) {
-  if (!core.formed() || core.version() <= state.core.version()) return;
+  if (!core.formed() || core_tag(core) <= core_tag(state.core)) return;
   const bool foreign = state.core.cluster() != 0 && state.core.cluster() != core.cluster();
   if (foreign || state.phase == CorePhase::bound) return;
   state.core = core;
+  member.core_tag = core_tag(core);
   member.self.set_cluster(core.cluster());
   member_announce(member);
-  note(effects, "core.learned", {{"cluster", std::to_string(core.cluster())}});
+  if (core_seat(core, member.self.disk()) != 0 && member.self.disk() != 0) {
+    if (state.phase != CorePhase::formed) change_phase(state, CorePhase::formed, effects);
+    keep_core(state, effects);
+  }
+  note(effects, "core.learned", {{"cluster", std::to_string(core.cluster())},
+                                   {"version", std::to_string(core.version())},
+                                   {"disks", std::to_string(core.disks_size())},
+                                   {"next", std::to_string(core.next_size())}});
 }
 
 }  // namespace weldsail
--- a/src/core/member.cpp
+++ b/src/core/member.cpp
@@ -180,6 +180,8 @@
   envelope.set_to(target);
   envelope.set_address(state.self.address());
   envelope.set_disk(state.self.disk());
+  envelope.set_core_epoch(state.core_tag.first);
+  envelope.set_core_version(state.core_tag.second);
   return envelope;
 }
 
--- a/src/core/member.hpp
+++ b/src/core/member.hpp
@@ -41,6 +41,7 @@
   Moment last_tick = 0;
   std::uint64_t turn = 0;
   bool leaving = false;
+  std::pair<std::uint64_t, std::uint64_t> core_tag{0, 0};
 };
 
 Moment member_beat(const MemberState& state);
--- a/src/core/register.cpp
+++ b/src/core/register.cpp
@@ -22,8 +22,8 @@
 }
 
 void send_core(const MemberState& member, const wire::Core& core, const wire::Envelope& envelope, Effects& effects) {
-  for (const auto& disk : core.disks()) {
-    const auto* entry = find_disk(member, disk.disk());
+  for (const auto disk : core_members(core)) {
+    const auto* entry = find_disk(member, disk);
     if (entry == nullptr) continue;
     auto copy = envelope;
     copy.set_to(entry->node());
@@ -95,6 +95,18 @@
   return RegisterSignal::held;
 }
 
+Moment majority_round(RegisterState& state, const google::protobuf::RepeatedPtrField<wire::CoreDisk>& disks) {
+  std::vector<Moment> rounds;
+  for (const auto& disk : disks) rounds.push_back(state.checked[disk.disk()]);
+  std::ranges::sort(rounds, std::greater<>());
+  return rounds.empty() ? 0 : rounds[rounds.size() / 2];
+}
+
+bool majority_of(const google::protobuf::RepeatedPtrField<wire::CoreDisk>& disks, const std::set<std::uint64_t>& given) {
+  const auto count = std::ranges::count_if(disks, [&](const wire::CoreDisk& item) { return given.contains(item.disk()); });
+  return disks.size() > 0 && count * 2 > disks.size();
+}
+
 RegisterSignal take_checked(RegisterState& state, const wire::Core& core, const wire::Envelope& envelope, Moment now,
                             Effects& effects) {
   const auto& checked = envelope.checked();
@@ -105,10 +117,9 @@
   }
   auto& newest = state.checked[envelope.disk()];
   newest = std::max(newest, static_cast<Moment>(checked.round()));
-  std::vector<Moment> rounds;
-  for (const auto& disk : core.disks()) rounds.push_back(state.checked[disk.disk()]);
-  std::ranges::sort(rounds, std::greater<>());
-  state.confirmed = std::max(state.confirmed, rounds[rounds.size() / 2]);
+  auto confirmed = majority_round(state, core.disks());
+  if (core.next_size() > 0) confirmed = std::min(confirmed, majority_round(state, core.next()));
+  state.confirmed = std::max(state.confirmed, confirmed);
   return RegisterSignal::none;
 }
 
@@ -119,13 +130,22 @@
 std::uint32_t core_seat(const wire::Core& core, std::uint64_t disk) {
   for (const auto& item : core.disks())
     if (item.disk() == disk) return item.seat();
+  for (const auto& item : core.next())
+    if (item.disk() == disk) return item.seat();
   return 0;
 }
 
+std::set<std::uint64_t> core_members(const wire::Core& core) {
+  std::set<std::uint64_t> members;
+  for (const auto& item : core.disks()) members.insert(item.disk());
+  for (const auto& item : core.next()) members.insert(item.disk());
+  return members;
+}
+
+CoreTag core_tag(const wire::Core& core) { return {core.epoch(), core.version()}; }
+
 bool core_majority(const wire::Core& core, const std::set<std::uint64_t>& disks) {
-  const auto count = std::ranges::count_if(
-      core.disks(), [&](const wire::CoreDisk& item) { return disks.contains(item.disk()); });
-  return core.disks_size() > 0 && count * 2 > core.disks_size();
+  return majority_of(core.disks(), disks) && (core.next_size() == 0 || majority_of(core.next(), disks));
 }
 
 void register_prepare(RegisterState& state, const MemberState& member, const wire::Core& core, Moment now,
--- a/src/core/register.hpp
+++ b/src/core/register.hpp
@@ -44,6 +44,12 @@
 Moment register_lease(const RegisterState& state);
 /// Seat of a disk in the core, 0 when it has none.
 std::uint32_t core_seat(const wire::Core& core, std::uint64_t disk);
+/// Disks of the core, those that are being taken in too.
+std::set<std::uint64_t> core_members(const wire::Core& core);
+/// Epoch and version of a core; the larger is the newer.
+using CoreTag = std::pair<std::uint64_t, std::uint64_t>;
+CoreTag core_tag(const wire::Core& core);
+/// True when the disks are a majority, of the old and of the new set while both count.
 bool core_majority(const wire::Core& core, const std::set<std::uint64_t>& disks);
 
 /// Begins to take the key under an epoch above all that were seen.
--- /dev/null
+++ b/src/core/repair.hpp
@@ -0,0 +1,37 @@
+#pragma once
+#include "core/duty.hpp"
+#include "core/formation.hpp"
+#include "core/vote.hpp"
+
+namespace weldsail {
+
+/// The repair part: replaces lost core disks and fills new ones from those that were told first.
+struct RepairState {
+  Moment bound = 3000;
+  CoreTag committed{0, 0};
+  std::map<std::uint64_t, Moment> missing_since;
+  std::set<std::uint64_t> copied_from;
+  CoreTag copying{0, 0};
+  Moment asked = 0;
+  std::map<std::uint64_t, CoreTag> waiting;
+  std::uint64_t next_token = 0;
+};
+
+/// Prefix of the tokens that belong to the repair.
+inline constexpr std::uint64_t repair_tokens = 5ULL << 40U;
+
+/// The holder of the core's key: begins, ends or takes back a change of the set.
+void repair_lead(RepairState& state, const MemberState& member, const FormationState& formation, RegisterState& owner,
+                 Moment now, Effects& effects);
+/// A disk that is being taken in: asks the old set for what it holds.
+void repair_copy(RepairState& state, const MemberState& member, const FormationState& formation, Moment now,
+                 Effects& effects);
+/// Answers with all that this disk has promised, accepted and voted.
+void repair_asked(const AcceptorState& acceptor, const VoteState& vote, const MemberState& member,
+                  const wire::Envelope& envelope, Effects& effects);
+/// Takes another disk's content; with a majority's the disk is filled and says so once synced.
+void repair_answered(RepairState& state, AcceptorState& acceptor, VoteState& vote, const FormationState& formation,
+                     const wire::Envelope& envelope, Moment now, Effects& effects);
+void repair_persisted(RepairState& state, MemberState& member, const Persisted& event);
+
+}  // namespace weldsail
--- a/src/core/vote.cpp
+++ b/src/core/vote.cpp
@@ -50,6 +50,12 @@
   if (event.kept) effects.push_back(SendMessage{address, std::move(answer)});
 }
 
+std::vector<std::pair<std::string, std::string>> vote_records(const VoteState& state) {
+  std::vector<std::pair<std::string, std::string>> records;
+  for (const auto& [key, vote] : state.votes) records.emplace_back(record_name(key), vote.claimer);
+  return records;
+}
+
 void vote_tick(VoteState& state, Moment now, Effects& effects) {
   if (now < state.next_expiry) return;
   state.next_expiry = now + state.bound;
--- a/src/core/vote.hpp
+++ b/src/core/vote.hpp
@@ -28,6 +28,8 @@
 void vote_receive(VoteState& state, const MemberState& member, const wire::Envelope& envelope, Moment now,
                   Effects& effects);
 void vote_persisted(VoteState& state, const MemberState& member, const Persisted& event, Effects& effects);
+/// All votes, as records.
+std::vector<std::pair<std::string, std::string>> vote_records(const VoteState& state);
 /// Drops votes that are past their time.
 void vote_tick(VoteState& state, Moment now, Effects& effects);
 
--- a/test/sim/fleet.cpp
+++ b/test/sim/fleet.cpp
@@ -60,14 +60,14 @@
   for (const auto& address : datas) world.start(address);
 }
 
-void Fleet::add_control(const std::string& address, std::size_t place) {
+void Fleet::add_control(const std::string& address, std::size_t place, const std::vector<std::string>& seeds) {
   SimNode node;
   node.address = address;
   node.locality = locality_name(place, plan);
   node.has_disk = true;
   node.sync_most = plan.sync_most;
   ControlOptions options;
-  options.member = {Program::control, address, address, node.locality, {"cp1", "cp2", "cp3"}, 3000};
+  options.member = {Program::control, address, address, node.locality, seeds, 3000};
   options.core_size = static_cast<std::uint32_t>(plan.control);
   options.platform = "platform";
   options.platform_pace = 4000;
--- a/test/sim/fleet.hpp
+++ b/test/sim/fleet.hpp
@@ -27,7 +27,8 @@
   /// A configuration for the fleet; the mark makes it differ from others.
   std::string document(const std::string& mark) const;
   /// Adds a control node on an empty disk; it isn't started.
-  void add_control(const std::string& address, std::size_t place);
+  void add_control(const std::string& address, std::size_t place,
+                   const std::vector<std::string>& seeds = {"cp1", "cp2", "cp3"});
   /// The first alive control node's view of who holds a key; empty when nobody does.
   std::string holder(const std::string& key) const;
 };
--- a/test/sim/scenarios.hpp
+++ b/test/sim/scenarios.hpp
@@ -16,4 +16,7 @@
 /// A day with callers, operators and every kind of trouble.
 ScenarioResult run_day(std::uint64_t seed);
 
+/// Core machines replaced by empty ones, one after another, until none of the first remains.
+ScenarioResult run_replace(std::uint64_t seed);
+
 }  // namespace weldsail::sim
--- a/test/wssim/main.cpp
+++ b/test/wssim/main.cpp
@@ -11,6 +11,7 @@
   const std::map<std::string, std::function<ScenarioResult(std::uint64_t)>> scenarios{
       {"register", weldsail::sim::run_register},
       {"day", weldsail::sim::run_day},
+      {"replace", weldsail::sim::run_replace},
   };
   TCLAP::CmdLine line("wssim: seeded runs of whole fleets on virtual clocks, networks and disks", ' ', "0.1.0");
   TCLAP::ValueArg<std::string> scenario("", "scenario", "which", false, "register", "name", line);
