--- a/test/sim/replacescenario.cpp
+++ b/test/sim/replacescenario.cpp
@@ -31,8 +31,14 @@
   operators.put(fleet.controls.front(), 0);
   world.run_until(begin + 3000);
   const auto end = begin + 3 * step;
-  operators.work_until(end, 1500);
+  const bool quiet = seed % 2 == 1;
+  operators.work_until(quiet ? begin + 6000 : end, 1500);
   callers.work_until(end, 120);
+  const auto ask_old_keys = [&callers, &fleet](bool repeat) {
+    for (int turn = 0; turn < 20; ++turn)
+      callers.ask_call(fleet.datas[static_cast<std::size_t>(turn) % fleet.datas.size()], "old" + std::to_string(turn), repeat);
+  };
+  ask_old_keys(false);
   const std::vector<std::string> first = fleet.controls;
   std::vector<std::string> alive = first;
   for (std::size_t place = 0; place < first.size(); ++place) {
@@ -47,11 +53,12 @@
     world.at(world.now() + world.chance.between(0, 8000), [&world, fresh] { world.start(fresh); });
   }
   world.run_until(end + 5000);
+  ask_old_keys(true);
   ScenarioResult result;
   if (!consists_of(fleet, alive)) result.faults.emplace_back("the core isn't the new machines alone");
   world.empty_disk(first[2]);
   for (const auto& address : first) world.start(address);
-  operators.work_until(end + 30000, 1500);
+  if (!quiet) operators.work_until(end + 30000, 1500);
   world.run_until(end + 40000);
   const auto last = operators.read_back(15000);
   for (auto& fault : operators.faults()) result.faults.push_back(std::move(fault));
--- a/test/unit/registersim.cpp
+++ b/test/unit/registersim.cpp
@@ -26,3 +26,9 @@
   CAPTURE(seed);
   check(run_register(static_cast<std::uint64_t>(seed)));
 }
+
+TEST_CASE("core machines are replaced by empty ones until none of the first remains", "[replace]") {
+  const auto seed = GENERATE(1, 2, 3, 4);
+  CAPTURE(seed);
+  check(run_replace(static_cast<std::uint64_t>(seed)));
+}
