--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "state.pb.h"
 #include "wire.pb.h"
 
 namespace weldsail {
--- /dev/null
+++ b/test/sim/worldio.cpp
@@ -0,0 +1,72 @@
+#include "sim/world.hpp"
+
+namespace weldsail::sim {
+
+void World::send(SimNode& node, const SendMessage& effect) {
+  ++node.messages;
+  const bool own = effect.address == node.address;
+  if (!own && (chance.happens(loss) || !nodes_.contains(effect.address))) return;
+  const auto from = node.address;
+  const auto arrival = own ? now_ : now_ + chance.between(0, delay_most);
+  const auto bytes = effect.envelope.SerializeAsString();
+  at(arrival, [this, from, to = effect.address, bytes] {
+    auto& target = nodes_.at(to);
+    if (!target.alive || blocked(from, to)) return;
+    wire::Envelope envelope;
+    envelope.ParseFromString(bytes);
+    give(to, target.life, MessageArrived{std::move(envelope)});
+  });
+}
+
+void World::open(SimNode& node, const OpenPipe& effect) {
+  const auto address = node.address;
+  const auto life = node.life;
+  const auto due = effect.due - node.offset;
+  const auto found = back_ends.find(effect.address);
+  const bool there = found != back_ends.end() && found->second.reachable() && !blocked(address, effect.address);
+  if (!there) {
+    const bool silent = found != back_ends.end() && blocked(address, effect.address);
+    at(silent ? due : now_ + 1, [this, address, life, silent, pipe = effect.pipe] {
+      give(address, life, PipeEnded{pipe, false, false, silent ? past_due_reason : "refused"});
+    });
+    return;
+  }
+  at(now_ + chance.between(0, delay_most), [this, address, life, effect] {
+    const auto back_end = back_ends.find(effect.address);
+    if (back_end != back_ends.end()) back_end->second.open(address, life, effect);
+  });
+  at(due, [this, address, life, pipe = effect.pipe] { give(address, life, PipeEnded{pipe, false, true, past_due_reason}); });
+}
+
+void World::persist(SimNode& node, const Persist& effect) {
+  const auto address = node.address;
+  const auto life = node.life;
+  if (node.disk_full) {
+    at(now_ + 1, [this, address, life, token = effect.token] { give(address, life, Persisted{token, false}); });
+    return;
+  }
+  node.unsynced.emplace_back(effect.token, effect.records);
+  if (!node.syncing) begin_sync(address, life);
+}
+
+void World::begin_sync(const std::string& address, std::uint64_t life) {
+  auto& node = nodes_.at(address);
+  node.syncing = !node.unsynced.empty();
+  if (!node.syncing) return;
+  const auto group = node.unsynced.size();
+  node.disk_free_at = std::max(node.disk_free_at, now_) + chance.between(node.sync_least, node.sync_most);
+  at(node.disk_free_at, [this, address, life, group] {
+    auto& owner = nodes_.at(address);
+    if (!owner.alive || owner.life != life) return;
+    std::vector<std::uint64_t> tokens;
+    for (std::size_t place = 0; place < group; ++place) {
+      tokens.push_back(owner.unsynced[place].first);
+      for (const auto& [name, bytes] : owner.unsynced[place].second) owner.disk[name] = bytes;
+    }
+    owner.unsynced.erase(owner.unsynced.begin(), owner.unsynced.begin() + static_cast<std::ptrdiff_t>(group));
+    begin_sync(address, life);
+    for (const auto token : tokens) give(address, life, Persisted{token, true});
+  });
+}
+
+}  // namespace weldsail::sim
