A restarted data node begins only with what a majority of the core knows as newest

Cause: it took the first configuration it was told, and a control node that was cut off may know an older one than the node had in force before its restart. Before: the directed test serves version 1 after 2. After: it serves nothing until a majority answers, then 2.

--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -90,7 +90,10 @@
     news_heard(state.news, state.member, envelope, effects);
   }
   if (envelope.has_form()) formation_receive(state.formation, state.member, envelope, effects);
-  if (envelope.has_news_ask()) news_asked(state.news, state.member, state.formation.core, envelope, effects);
+  if (envelope.has_news_ask() && envelope.news_ask().first())
+    news_answer_first(state.news, state.acceptor, state.member, state.formation.core, envelope, effects);
+  else if (envelope.has_news_ask())
+    news_asked(state.news, state.member, state.formation.core, envelope, effects);
   if (envelope.has_news()) {
     state.news.asked.erase(envelope.from());
     formation_learn(state.formation, state.member, envelope.news().core(), effects);
--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -5,9 +5,27 @@
 namespace weldsail {
 namespace {
 
+void hear_first(DataState& state, const wire::Envelope& envelope) {
+  if (state.document_version != 0 || envelope.news().accepted_size() == 0) return;
+  state.first_heard.insert(envelope.disk());
+  for (const auto& item : envelope.news().accepted())
+    if (item.key() == config_key) state.first_floor = std::max(state.first_floor, item.version());
+}
+
+void ask_first(DataState& state, Moment now, Effects& effects) {
+  if (state.document_version != 0 || now - state.first_asked < member_beat(state.member)) return;
+  state.first_asked = now;
+  news_ask_all(state.news, state.member, state.formation.core, effects);
+}
+
+bool may_begin_with(const DataState& state, std::uint64_t version) {
+  return core_majority(state.formation.core, state.first_heard) && version >= state.first_floor;
+}
+
 void use_news(DataState& state, Effects& effects) {
   const auto config = state.news.values.find(config_key);
-  if (config != state.news.values.end() && config->second.version() > state.document_version) {
+  const bool newer = config != state.news.values.end() && config->second.version() > state.document_version;
+  if (newer && (state.document_version != 0 || may_begin_with(state, config->second.version()))) {
     wire::ConfigValue value;
     if (value.ParseFromString(config->second.value())) {
       auto read = read_config(value.document());
@@ -45,6 +63,7 @@
         formation_learn(state.formation, state.member, core, effects);
     for (const auto& value : envelope.news().values())
       news_learn(state.news, state.member, state.formation.core, value, effects);
+    hear_first(state, envelope);
     use_news(state, effects);
   }
   if (envelope.has_operated()) operate_answered(state.operate, envelope, effects);
@@ -72,6 +91,7 @@
   news_tick(state.news, state.member, now, effects);
   operate_tick(state.operate, state.member, now, effects);
   watch_tick(state.watch, state.numbers, now, effects);
+  ask_first(state, now, effects);
   claims_tick(state, now, effects);
   break_dark(state, now, effects);
   std::vector<std::uint64_t> late;
--- a/src/core/data.hpp
+++ b/src/core/data.hpp
@@ -83,6 +83,9 @@
   OperateState operate;
   std::optional<ConfigDocument> document;
   std::uint64_t document_version = 0;
+  std::set<std::uint64_t> first_heard;
+  std::uint64_t first_floor = 0;
+  Moment first_asked = 0;
   wire::Placement placement;
   std::uint64_t placement_version = 0;
   WorkerWatch watch;
--- a/src/core/news.cpp
+++ b/src/core/news.cpp
@@ -90,6 +90,32 @@
   if (!answer_news(state, member, core, envelope, effects)) state.waiting[envelope.from()] = envelope;
 }
 
+void news_ask_all(const NewsState& state, const MemberState& member, const wire::Core& core, Effects& effects) {
+  for (const auto disk : core_members(core)) {
+    const auto* entry = find_disk(member, disk);
+    if (entry == nullptr) continue;
+    auto envelope = member_envelope(member, entry->node());
+    for (const auto& item : news_known(state)) *envelope.mutable_news_ask()->add_known() = item;
+    envelope.mutable_news_ask()->set_first(true);
+    effects.push_back(SendMessage{entry->address(), std::move(envelope)});
+  }
+}
+
+void news_answer_first(const NewsState& state, const AcceptorState& acceptor, const MemberState& member,
+                       const wire::Core& core, const wire::Envelope& envelope, Effects& effects) {
+  auto answer = member_envelope(member, envelope.from());
+  auto* news = answer.mutable_news();
+  for (const auto& [key, value] : state.values) *news->add_values() = value;
+  for (const auto& [key, copy] : acceptor.copies) {
+    auto* item = news->add_accepted();
+    item->set_key(key);
+    item->set_epoch(copy.accepted_epoch);
+    item->set_version(copy.version);
+  }
+  *news->mutable_core() = core;
+  effects.push_back(SendMessage{envelope.address(), std::move(answer)});
+}
+
 void news_heard(NewsState& state, const MemberState& member, const wire::Envelope& envelope, Effects& effects) {
   for (const auto& item : envelope.ping().known())
     if (newer(state, item.key(), item.version())) {
--- a/src/core/news.hpp
+++ b/src/core/news.hpp
@@ -18,6 +18,11 @@
                 Effects& effects);
 /// Asks two control nodes in different localities where no ask is open.
 void news_tick(NewsState& state, const MemberState& member, Moment now, Effects& effects);
+/// Asks every core node what it has accepted, until a starting node knows enough.
+void news_ask_all(const NewsState& state, const MemberState& member, const wire::Core& core, Effects& effects);
+/// Answers a starting node with all values and with what this disk has accepted.
+void news_answer_first(const NewsState& state, const AcceptorState& acceptor, const MemberState& member,
+                       const wire::Core& core, const wire::Envelope& envelope, Effects& effects);
 /// Answers an ask at once where there is news, else keeps it waiting.
 void news_asked(NewsState& state, const MemberState& member, const wire::Core& core, const wire::Envelope& envelope,
                 Effects& effects);
--- a/test/sim/operators.cpp
+++ b/test/sim/operators.cpp
@@ -62,7 +62,7 @@
   fleet_.world.stepped = [this](SimNode& node) {
     const auto* state = std::get_if<DataState>(&node.state);
     if (state == nullptr || state->document_version == 0) return;
-    auto& version = in_force_[node.address + "/" + std::to_string(node.life)];
+    auto& version = in_force_[node.address];
     if (state->document_version < version)
       slips_.push_back(node.address + " slipped back to " + std::to_string(state->document_version));
     if (state->document_version == version) return;
--- a/test/unit/registersim.cpp
+++ b/test/unit/registersim.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "sim/operators.hpp"
 #include "sim/scenarios.hpp"
 
 using namespace weldsail::sim;
@@ -32,3 +33,30 @@
   CAPTURE(seed);
   check(run_replace(static_cast<std::uint64_t>(seed)));
 }
+
+TEST_CASE("a restarted data node takes no older configuration from a control node that lags", "[register]") {
+  FleetPlan plan;
+  plan.data = 2;
+  plan.model_workers = plan.call_workers = 0;
+  Fleet fleet(7, plan);
+  Operators operators(fleet);
+  auto& world = fleet.world;
+  world.run_until(4000);
+  operators.put("cp1", 0);
+  world.run_until(8000);
+  REQUIRE(world.data("dp1")->document_version == 1);
+  world.cut({"cp3"}, {"cp1", "cp2", "dp1", "dp2"});
+  world.run_until(20000);
+  operators.put("cp1", 1);
+  world.run_until(24000);
+  REQUIRE(world.data("dp1")->document_version == 2);
+  world.kill("dp1");
+  world.heal();
+  world.cut({"cp3", "dp1"}, {"cp1", "cp2", "dp2"});
+  world.start("dp1");
+  world.run_until(34000);
+  CHECK(world.data("dp1")->document_version == 0);
+  world.heal();
+  world.run_until(44000);
+  CHECK(world.data("dp1")->document_version == 2);
+}
