Orders tell which worker's order ended, in place of a map copied at every event

Cause: the steward copied all order ends at every pipe event (status bytes too) only to see which one had changed; orders_pipe knows it and now says so.

--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -176,15 +176,15 @@
   giver.give_wanted();
 }
 
-void orders_pipe(OrderState& state, const Event& event, Moment now, Effects& effects) {
+std::optional<std::string> orders_pipe(OrderState& state, const Event& event, Moment now, Effects& effects) {
   if (const auto* head = std::get_if<PipeHead>(&event)) {
     const auto found = state.open.find(head->pipe);
     if (found != state.open.end()) found->second.answer = head->status;
   }
   const auto* ended = std::get_if<PipeEnded>(&event);
-  if (ended == nullptr) return;
+  if (ended == nullptr) return std::nullopt;
   const auto found = state.open.find(ended->pipe);
-  if (found == state.open.end()) return;
+  if (found == state.open.end()) return std::nullopt;
   const auto order = found->second;
   state.open.erase(found);
   note(effects, "order.ended",
@@ -196,9 +196,10 @@
   const bool done = ended->whole && order.answer >= 200 && order.answer < 300;
   for (auto& item : state.ordered[order.address])
     if (is_load(order.kind) && item.name == order.name) item.settled = now;
-  if (done) return;
+  if (done) return order.address;
   state.retry_at[order.address] = now + state.bound / 3;
   if (order.kind == OrderKind::unload_model && order.answer != 0) state.aborted.push_back(order.name);
+  return order.address;
 }
 
 bool pull_doubtful(OrderState& state, const FitInput& input) {
--- a/src/core/orders.hpp
+++ b/src/core/orders.hpp
@@ -46,7 +46,8 @@
 void orders_tick(OrderState& state, const wire::Placement& placement, const FitInput& input, PipeNumbers& numbers,
                  Effects& effects);
 /// Takes a pipe's event; units whose retirement broke down are added to `aborted`.
-void orders_pipe(OrderState& state, const Event& event, Moment now, Effects& effects);
+/// The worker's address when an order to it has just ended.
+std::optional<std::string> orders_pipe(OrderState& state, const Event& event, Moment now, Effects& effects);
 /// Loads whose worker went silent may still begin: no other is given until the worker has been heard, has
 /// refused a connection, or four bounds have passed.
 bool pull_doubtful(OrderState& state, const FitInput& input);
--- a/src/core/steward.cpp
+++ b/src/core/steward.cpp
@@ -93,12 +93,8 @@
   if (platform_pipe(state.platform, event, now, effects)) watch_set(state.watch, state.platform.services, effects);
   if (const auto heard = watch_pipe(state.watch, event, effects))
     orders_heard(state.orders, state.watch.views.at(*heard));
-  const auto before = state.orders.ended_at;
-  orders_pipe(state.orders, event, now, effects);
-  for (const auto& [address, ended] : state.orders.ended_at)
-    if (const auto view = state.watch.views.find(address);
-        view != state.watch.views.end() && (!before.contains(address) || before.at(address) != ended))
-      view->second.hurried = true;
+  if (const auto ended = orders_pipe(state.orders, event, now, effects))
+    if (const auto view = state.watch.views.find(*ended); view != state.watch.views.end()) view->second.hurried = true;
 }
 
 void steward_end(StewardState& state, Effects& effects) {
