--- a/src/core/acceptor.cpp
+++ b/src/core/acceptor.cpp
@@ -80,8 +80,8 @@
   copy.value = accept.value();
   accepted->set_granted(true);
   accepted->set_promised(copy.promised);
-  wait_for_disk(state, std::move(answer),
-                {promise_record(accept.key(), copy), copy_record(accept.key(), copy)}, effects);
+  wait_for_disk(state, std::move(answer), {promise_record(accept.key(), copy), copy_record(accept.key(), copy)},
+                effects);
 }
 
 void take_check(AcceptorState& state, const MemberState& member, const wire::Envelope& envelope, Moment now,
@@ -128,8 +128,8 @@
   return records;
 }
 
-void acceptor_receive(AcceptorState& state, const MemberState& member, const wire::Envelope& envelope,
-                      Moment now, Effects& effects) {
+void acceptor_receive(AcceptorState& state, const MemberState& member, const wire::Envelope& envelope, Moment now,
+                      Effects& effects) {
   if (envelope.has_prepare()) take_prepare(state, member, envelope, now, effects);
   if (envelope.has_accept()) take_accept(state, member, envelope, now, effects);
   if (envelope.has_check()) take_check(state, member, envelope, now, effects);
--- a/src/core/acceptor.hpp
+++ b/src/core/acceptor.hpp
@@ -25,8 +25,8 @@
 /// The process stood still: what it has not heard meanwhile tells nothing.
 void acceptor_woke(AcceptorState& state, Moment now);
 /// Takes prepare, accept or check; the answer goes out once it is durable.
-void acceptor_receive(AcceptorState& state, const MemberState& member, const wire::Envelope& envelope,
-                      Moment now, Effects& effects);
+void acceptor_receive(AcceptorState& state, const MemberState& member, const wire::Envelope& envelope, Moment now,
+                      Effects& effects);
 /// Sends the answers that waited for the disk; a failed sync gives none.
 void acceptor_persisted(AcceptorState& state, const MemberState& member, const Persisted& event, Effects& effects);
 
--- a/src/core/assign.cpp
+++ b/src/core/assign.cpp
@@ -110,7 +110,8 @@
   const auto count = candidates.size();
   if (candidates.empty()) return nullptr;
   if (carry.blocks.empty()) return least_demand(candidates);
-  const auto limit = static_cast<std::uint64_t>(std::ceil(load_slack * static_cast<double>(total) / static_cast<double>(count)));
+  const auto limit =
+      static_cast<std::uint64_t>(std::ceil(load_slack * static_cast<double>(total) / static_cast<double>(count)));
   const Candidate* best = nullptr;
   std::uint64_t best_weight = 0;
   for (const auto& candidate : candidates) {
--- a/src/core/carry.cpp
+++ b/src/core/carry.cpp
@@ -33,7 +33,9 @@
   if (phase == AttemptPhase::whole) return;
   ++state.totals.breakdowns[reason];
   note(effects, "attempt.breakdown",
-       {{"run", carry.run}, {"worker", attempt.worker}, {"reason", reason},
+       {{"run", carry.run},
+        {"worker", attempt.worker},
+        {"reason", reason},
         {"certain", phase == AttemptPhase::refused || phase == AttemptPhase::unsent ? "true" : "false"}});
   if (phase == AttemptPhase::unsent || phase == AttemptPhase::broken) watch_broken(state.watch, attempt.worker);
 }
@@ -41,8 +43,8 @@
 void begin_answer(Carry& carry, Effects& effects) {
   if (carry.ledger.answer_begun) return;
   carry.ledger.answer_begun = true;
-  effects.push_back(AnswerHead{carry.request, 200,
-                               {{"content-type", "text/event-stream"}, {"weldsail-request", carry.caller_id}}});
+  effects.push_back(
+      AnswerHead{carry.request, 200, {{"content-type", "text/event-stream"}, {"weldsail-request", carry.caller_id}}});
 }
 
 void take_stream(DataState& state, Carry& carry, const std::string& bytes, Moment now, Effects& effects) {
@@ -110,8 +112,10 @@
   carry.answer.clear();
   carry.headers.clear();
   carry.reader = {carry.run, carry.ledger.next_piece, {}, false};
-  std::vector<Header> headers{{"content-type", "application/json"},  {"weldsail-run", carry.run},
-                              {"weldsail-instance", view.status->instance}, {"weldsail-service", view.service}};
+  std::vector<Header> headers{{"content-type", "application/json"},
+                              {"weldsail-run", carry.run},
+                              {"weldsail-instance", view.status->instance},
+                              {"weldsail-service", view.service}};
   if (!call) {
     headers.push_back({"weldsail-model", carry.route.model});
     if (!carry.route.adapter.empty()) headers.push_back({"weldsail-adapter", carry.route.adapter});
--- a/src/core/carry/choose.cpp
+++ b/src/core/carry/choose.cpp
@@ -38,8 +38,8 @@
   const auto& service = state.path.config->services.at(carry.service);
   const bool by_model = !carry.unit.empty();
   const auto nodes = path_nodes(state);
-  const auto pipes = std::max<std::size_t>(2, static_cast<std::size_t>(pipes_used * static_cast<double>(service.pipe_limit) /
-                                                                      static_cast<double>(nodes)));
+  const auto pipes = std::max<std::size_t>(
+      2, static_cast<std::size_t>(pipes_used * static_cast<double>(service.pipe_limit) / static_cast<double>(nodes)));
   bool model_there = false;
   std::optional<std::pair<bool, double>> best;
   for (const auto& worker : state.path.fleet.workers) {
@@ -48,17 +48,20 @@
     if (by_model && !holds(worker, carry.call, adapter_there)) continue;
     if (!adapter_there) continue;
     model_there = true;
-    const bool tried = std::ranges::any_of(carry.tries, [&](const PathTry& item) { return item.worker == worker.identity(); });
+    const bool tried =
+        std::ranges::any_of(carry.tries, [&](const PathTry& item) { return item.worker == worker.identity(); });
     if (tried) continue;
     const auto found = state.path.tracks.find(worker.identity());
     const auto& track = found == state.path.tracks.end() ? unknown : found->second;
     if (track.open >= pipes) continue;
-    const auto slots = static_cast<double>(std::max<std::uint64_t>(1, worker.slots() != 0 ? worker.slots() : service.slots));
+    const auto slots =
+        static_cast<double>(std::max<std::uint64_t>(1, worker.slots() != 0 ? worker.slots() : service.slots));
     const auto running = static_cast<double>(track.open) + others_now(track, state.options.member.bound, now);
     double cost = running * running_cost * (by_model ? 1 : waiting_cost / slots);
     if (running >= slots) cost += (running - slots + 1) * waiting_cost;
     if (by_model) {
-      cost += static_cast<double>(parts_missed(track.parts, carry.call, carry.chain) + track.unread_tokens) / read_tokens_per_ms;
+      cost += static_cast<double>(parts_missed(track.parts, carry.call, carry.chain) + track.unread_tokens) /
+              read_tokens_per_ms;
       if (!carry.chain.empty()) {
         const auto weight = rendezvous_weight(carry.chain.front(), digest(worker.identity()));
         cost += spread_cost * static_cast<double>(weight >> 32U) / static_cast<double>(1ULL << 32U);
--- a/src/core/carry/finish.cpp
+++ b/src/core/carry/finish.cpp
@@ -13,8 +13,11 @@
   ++state.path.outcomes[outcome];
   state.path.last_busy = now;
   if (std::string_view(outcome) != "finished")
-    note(effects, "carry.given_up", {{"request", carry.call.identity}, {"route", carry.route.name}, {"reason", outcome},
-                                     {"waited_ms", std::to_string(now - carry.arrived)}});
+    note(effects, "carry.given_up",
+         {{"request", carry.call.identity},
+          {"route", carry.route.name},
+          {"reason", outcome},
+          {"waited_ms", std::to_string(now - carry.arrived)}});
   state.path.waiting.erase(carry.request);
   state.path.carries.erase(carry.request);
 }
@@ -40,8 +43,10 @@
 
 void path_finish(DataState& state, PathCarry& carry, Moment now, Effects& effects) {
   ++state.totals.finished;
-  if (carry.answer_begun) effects.push_back(AnswerEnd{carry.request, true});
-  else pass_on(state, carry, effects);
+  if (carry.answer_begun)
+    effects.push_back(AnswerEnd{carry.request, true});
+  else
+    pass_on(state, carry, effects);
   drop(state, carry, "finished", now, effects);
 }
 
@@ -51,7 +56,8 @@
   if (status == 503) {
     const auto left = std::max<Moment>(0, carry.due - now) / retry_parts;
     const auto wait = std::min(left, state.options.member.bound / 3);
-    const auto spread = wait == 0 ? 0 : static_cast<Moment>(mix(state.random ^ carry.request) % static_cast<std::uint64_t>(wait));
+    const auto spread =
+        wait == 0 ? 0 : static_cast<Moment>(mix(state.random ^ carry.request) % static_cast<std::uint64_t>(wait));
     answer.headers.push_back({"retry-after", seconds_text(wait / 2 + spread / 2)});
   }
   answer.close = state.member.leaving;
--- a/src/core/carry/move.cpp
+++ b/src/core/carry/move.cpp
@@ -30,13 +30,17 @@
 void set_waits(DataState& state, PathCarry& carry, bool waits, Moment now) {
   if (carry.waits == waits) return;
   carry.waits = waits;
-  if (waits) state.path.waiting.insert(carry.request);
-  else state.path.waiting.erase(carry.request);
+  if (waits)
+    state.path.waiting.insert(carry.request);
+  else
+    state.path.waiting.erase(carry.request);
   if (carry.unit.empty()) return;
   auto& waiting = state.path.units[carry.unit].waiting;
   if (waits && waiting.empty()) state.next_report = std::min(state.next_report, now);
-  if (waits) waiting.insert(carry.request);
-  else waiting.erase(carry.request);
+  if (waits)
+    waiting.insert(carry.request);
+  else
+    waiting.erase(carry.request);
 }
 
 void open_try(DataState& state, PathCarry& carry, const wire::WorkerEntry& worker, Moment now, Effects& effects) {
@@ -63,8 +67,14 @@
   carry.answer_whole = false;
   carry.reader.buffer.clear();
   RunTerms terms{worker.identity(), std::max<Moment>(1, carry.due - now), carry.route.urgency, carry.reader.last};
-  OpenPipe open{pipe, worker.address(), carry.method, carry.target, state.options.dialect->run_headers(carry.call, terms),
-                carry.body, false, carry.due + state.options.limits.transit};
+  OpenPipe open{pipe,
+                worker.address(),
+                carry.method,
+                carry.target,
+                state.options.dialect->run_headers(carry.call, terms),
+                carry.body,
+                false,
+                carry.due + state.options.limits.transit};
   open.fresh = !carry_repeatable(carry);
   open.connect_due = now + connects_per_transit * state.options.limits.transit;
   effects.push_back(std::move(open));
@@ -77,7 +87,8 @@
   if (found == state.path.carries.end()) return;
   auto& carry = found->second;
   if (carry_open(carry)) return;
-  if (!carry.tries.empty() && carry.tries.back().phase == TryPhase::whole) return path_finish(state, carry, now, effects);
+  if (!carry.tries.empty() && carry.tries.back().phase == TryPhase::whole)
+    return path_finish(state, carry, now, effects);
   const bool may_have_run = carry_may_have_run(carry);
   const auto give_up = [&](const char* reason) {
     set_waits(state, carry, false, now);
@@ -100,7 +111,8 @@
   if (memo_late(state.memo, now)) return give_up("newer_configuration");
   const auto choice = path_choose(state, carry, now);
   if (choice.worker != nullptr) return open_try(state, carry, *choice.worker, now, effects);
-  const bool ends_soon = state.leave_due != 0 && now >= state.leave_due - state.options.member.bound / leave_answers_per_bound;
+  const bool ends_soon =
+      state.leave_due != 0 && now >= state.leave_due - state.options.member.bound / leave_answers_per_bound;
   if (ends_soon || now >= hold_due(carry)) return give_up(choice.lack == Lack::model ? "no_model" : "no_worker");
   set_waits(state, carry, true, now);
 }
@@ -138,8 +150,11 @@
   }
   if (phase != TryPhase::whole) {
     ++state.totals.breakdowns[reason];
-    note(effects, "attempt.breakdown", {{"request", carry.call.identity}, {"worker", item.worker}, {"reason", reason},
-                                        {"sent", phase == TryPhase::unsent ? "false" : "true"}});
+    note(effects, "attempt.breakdown",
+         {{"request", carry.call.identity},
+          {"worker", item.worker},
+          {"reason", reason},
+          {"sent", phase == TryPhase::unsent ? "false" : "true"}});
   }
 }
 
--- a/src/core/carry/pipe.cpp
+++ b/src/core/carry/pipe.cpp
@@ -31,7 +31,8 @@
   }
   if (carry.answer_begun && (!success || head.not_run)) {
     effects.push_back(CancelPipe{carry.tries.back().pipe});
-    return path_end_try(state, carry, head.not_run || head.misdirected ? TryPhase::not_run : TryPhase::failed, "not_resumed", now, effects);
+    return path_end_try(state, carry, head.not_run || head.misdirected ? TryPhase::not_run : TryPhase::failed,
+                        "not_resumed", now, effects);
   }
   carry.head = std::move(head);
 }
@@ -49,11 +50,15 @@
   auto& item = carry.tries.back();
   const auto pause = now - item.last_bytes;
   if (item.has_event && carry.route.gap_aim > 0 && pause > carry.route.gap_aim)
-    note(effects, "stream.pause", {{"request", carry.call.identity}, {"worker", item.worker}, {"unit", carry.unit},
-                                   {"pause_ms", std::to_string(pause)},
-                                   {"open", std::to_string(state.path.tracks[item.worker].open)},
-                                   {"others", std::to_string(state.path.tracks[item.worker].others)}});
-  if (!item.has_event) first_event(state, carry, now);
+    note(effects, "stream.pause",
+         {{"request", carry.call.identity},
+          {"worker", item.worker},
+          {"unit", carry.unit},
+          {"pause_ms", std::to_string(pause)},
+          {"open", std::to_string(state.path.tracks[item.worker].open)},
+          {"others", std::to_string(state.path.tracks[item.worker].others)}});
+  if (!item.has_event)
+    first_event(state, carry, now);
   else if (!carry.unit.empty())
     state.path.counters[carry.unit][item.worker].between_events.add(static_cast<double>(now - item.last_bytes));
   if (carry.unit.empty()) return;
@@ -117,9 +122,11 @@
   PathCarry* carry = nullptr;
   if (const auto* head = std::get_if<PipeHead>(&event); head != nullptr && (carry = find(head->pipe)) != nullptr)
     take_head(state, *carry, *head, now, effects);
-  else if (const auto* bytes = std::get_if<PipeBytes>(&event); bytes != nullptr && (carry = find(bytes->pipe)) != nullptr)
+  else if (const auto* bytes = std::get_if<PipeBytes>(&event);
+           bytes != nullptr && (carry = find(bytes->pipe)) != nullptr)
     take_bytes(state, *carry, *bytes, now, effects);
-  else if (const auto* ended = std::get_if<PipeEnded>(&event); ended != nullptr && (carry = find(ended->pipe)) != nullptr)
+  else if (const auto* ended = std::get_if<PipeEnded>(&event);
+           ended != nullptr && (carry = find(ended->pipe)) != nullptr)
     take_end(state, *carry, *ended, now, effects);
   if (carry == nullptr || carry_open(*carry)) return;
   path_move(state, carry->request, now, effects);
--- a/src/core/carry/report.cpp
+++ b/src/core/carry/report.cpp
@@ -14,7 +14,8 @@
   histogram.set_count(latencies.count);
 }
 
-void write_unit(const DataState& state, const std::string& name, const UnitUse& use, Moment now, wire::Backlog& backlog) {
+void write_unit(const DataState& state, const std::string& name, const UnitUse& use, Moment now,
+                wire::Backlog& backlog) {
   backlog.set_unit(name);
   backlog.set_waiting(use.waiting.size());
   backlog.set_running(use.running);
@@ -44,7 +45,8 @@
   report->set_round(round);
   report->set_placement_version(state.placement_version);
   for (const auto& [name, use] : state.path.units) {
-    const bool told = !use.waiting.empty() || use.running > 0 || now - use.last_used < unit_told_bounds * state.options.member.bound;
+    const bool told =
+        !use.waiting.empty() || use.running > 0 || now - use.last_used < unit_told_bounds * state.options.member.bound;
     if (told) write_unit(state, name, use, now, *report->add_backlogs());
   }
   if (round != 0)
--- a/src/core/carry/take.cpp
+++ b/src/core/carry/take.cpp
@@ -58,9 +58,12 @@
   auto early = std::move(state.path.early);
   state.path.early.clear();
   for (auto& [request, held] : early) {
-    if (known) path_take(state, held.second, now, effects);
-    else if (now >= held.first) answer_plain(request, 503, state.options.member.bound / early_parts, effects);
-    else state.path.early[request] = std::move(held);
+    if (known)
+      path_take(state, held.second, now, effects);
+    else if (now >= held.first)
+      answer_plain(request, 503, state.options.member.bound / early_parts, effects);
+    else
+      state.path.early[request] = std::move(held);
   }
 }
 
@@ -82,7 +85,8 @@
   const bool stays = std::ranges::any_of(carry.route.shares, [&](const ServiceShare& share) {
     return share.service == carry.service && share.weight > 0;
   });
-  if (!stays) carry.service = pick_service(config, carry.route, carry.call, mix(digest(carry.call.identity) ^ config.revision));
+  if (!stays)
+    carry.service = pick_service(config, carry.route, carry.call, mix(digest(carry.call.identity) ^ config.revision));
   const auto service = config.services.find(carry.service);
   const bool models = service != config.services.end() && !service->second.models.empty();
   carry.unit = path_unit(carry.service, models ? carry.call.model : std::string());
@@ -135,8 +139,10 @@
       auto& carry = state.path.carries.begin()->second;
       if (carry_open(carry)) effects.push_back(CancelPipe{carry.tries.back().pipe});
       path_end_try(state, carry, TryPhase::failed, "leaving", now, effects);
-      if (carry_may_have_run(carry) || carry.answer_begun) path_break(state, carry, "leaving", now, effects);
-      else path_refuse(state, carry, 503, "leaving", now, effects);
+      if (carry_may_have_run(carry) || carry.answer_begun)
+        path_break(state, carry, "leaving", now, effects);
+      else
+        path_refuse(state, carry, 503, "leaving", now, effects);
     }
     return true;
   }
--- a/src/core/carry/watch.cpp
+++ b/src/core/carry/watch.cpp
@@ -23,7 +23,8 @@
     if (!carry_repeatable(carry) || carry_sent(carry) >= carry.route.tries) continue;
     const auto& track = state.path.tracks[item.worker];
     const auto quiet = now - std::max({item.last_bytes, item.begun, track.last_bytes});
-    const auto patience = carry.route.mode == PathMode::stream ? limit : std::max<Moment>(limit / 2, 3 * carry.route.aim);
+    const auto patience =
+        carry.route.mode == PathMode::stream ? limit : std::max<Moment>(limit / 2, 3 * carry.route.aim);
     if (quiet > patience) silent.push_back(request);
   }
   for (const auto request : silent) {
@@ -102,8 +103,10 @@
   use_list(state, now, effects);
   std::erase_if(state.path.tracks, [&](const auto& item) {
     const auto& track = item.second;
-    return track.open == 0 && now - std::max(track.last_bytes, track.avoid_until) > track_kept_bounds * state.options.member.bound &&
-           std::ranges::none_of(state.path.fleet.workers, [&](const auto& worker) { return worker.identity() == item.first; });
+    return track.open == 0 &&
+           now - std::max(track.last_bytes, track.avoid_until) > track_kept_bounds * state.options.member.bound &&
+           std::ranges::none_of(state.path.fleet.workers,
+                                [&](const auto& worker) { return worker.identity() == item.first; });
   });
 }
 
--- a/src/core/carryend.cpp
+++ b/src/core/carryend.cpp
@@ -43,9 +43,10 @@
   if (move == Move::give_up_not_run) {
     ++state.totals.not_run;
     if (carry.claim) claim_release(*carry.claim, state.member, state.formation.core, effects);
-    const auto retry = hold_retry(state.hold, carry.pool, state.pools[carry.pool].waiting.size(), mix(state.random ^ carry.request));
-    refuse_caller(carry.request, 503, carry.ledger.attempts.empty() ? "no_worker_ready" : "worker_broke_down", "not_run", retry,
-                  effects);
+    const auto retry =
+        hold_retry(state.hold, carry.pool, state.pools[carry.pool].waiting.size(), mix(state.random ^ carry.request));
+    refuse_caller(carry.request, 503, carry.ledger.attempts.empty() ? "no_worker_ready" : "worker_broke_down",
+                  "not_run", retry, effects);
   }
   if (move == Move::give_up_unknown) {
     ++state.totals.unknown;
--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -14,9 +14,7 @@
 
 struct Reader {
   ReadConfig& read;
-  void fault(const std::string& pointer, std::string message) {
-    read.faults.push_back({pointer, std::move(message)});
-  }
+  void fault(const std::string& pointer, std::string message) { read.faults.push_back({pointer, std::move(message)}); }
 
   bool names(const Value& object, const std::string& pointer) {
     if (!object.IsObject()) {
@@ -142,7 +140,8 @@
     options.adapter = text(value, pointer, "adapter", false);
     options.service = text(value, pointer, "service", call);
     options.resumable = json_bool_at(value, "/resumable");
-    if (value.HasMember("resumable") && !value["resumable"].IsBool()) fault(pointer + "/resumable", "must be a truth value");
+    if (value.HasMember("resumable") && !value["resumable"].IsBool())
+      fault(pointer + "/resumable", "must be a truth value");
     options.due = static_cast<Moment>(number(value, pointer, "due_ms", 30000, 1, 864e5, true));
     if (call && options.due > call_due_most) fault(pointer + "/due_ms", "of a call must be at most 600000");
     const auto& document = read.document;
@@ -224,8 +223,10 @@
   }
   if (const auto* found = Pointer("/models").Get(parsed)) reader.models(*found);
   if (const auto* found = Pointer("/adapters").Get(parsed)) reader.adapters(*found);
-  if (const auto* found = Pointer("/cells").Get(parsed)) reader.cells(*found);
-  else reader.fault("/cells", "is missing");
+  if (const auto* found = Pointer("/cells").Get(parsed))
+    reader.cells(*found);
+  else
+    reader.fault("/cells", "is missing");
   return read;
 }
 
--- a/src/core/config/pathduty.cpp
+++ b/src/core/config/pathduty.cpp
@@ -8,7 +8,10 @@
                          const wire::Operate& operation) {
   if (operation.base().empty()) return {400, {}, {{"", "names no revision that it builds on"}}};
   if (operation.base() != std::to_string(revision))
-    return {412, {}, {{"", "builds on " + operation.base() + ", but the current revision is " + std::to_string(revision)}}, true};
+    return {412,
+            {},
+            {{"", "builds on " + operation.base() + ", but the current revision is " + std::to_string(revision)}},
+            true};
   auto document = operation.body();
   if (operation.method() == "POST") {
     auto amended = dialect.amend_config(current, operation.body());
--- a/src/core/config/paths.cpp
+++ b/src/core/config/paths.cpp
@@ -13,7 +13,8 @@
 std::optional<std::size_t> PathIndex::find(const std::string& host, const std::string& path) const {
   const auto prefixes = hosts_.find(host);
   if (prefixes == hosts_.end()) return std::nullopt;
-  for (auto end = path.rfind('/'); end != std::string::npos; end = end == 0 ? std::string::npos : path.rfind('/', end - 1)) {
+  for (auto end = path.rfind('/'); end != std::string::npos;
+       end = end == 0 ? std::string::npos : path.rfind('/', end - 1)) {
     const auto found = prefixes->second.find(path.substr(0, end + 1));
     if (found != prefixes->second.end()) return found->second;
   }
@@ -28,7 +29,8 @@
     const auto& route = config.routes[place];
     const auto pointer = "/routes/" + std::to_string(place);
     if (!names.insert(route.name).second) faults.push_back({pointer, "has the name of another route"});
-    if (!places.emplace(route.host, route.prefix).second) faults.push_back({pointer, "has host and prefix of another route"});
+    if (!places.emplace(route.host, route.prefix).second)
+      faults.push_back({pointer, "has host and prefix of another route"});
     if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/')
       faults.push_back({pointer, "has a prefix that doesn't begin and end with a slash"});
     if (route.due <= 0) faults.push_back({pointer, "has no time in which to be answered"});
--- a/src/core/configduty.cpp
+++ b/src/core/configduty.cpp
@@ -88,8 +88,7 @@
   change->set_digest(std::to_string(digest(document)));
   change->set_bytes(document.size());
   if (next.history_size() > history_limit) next.mutable_history()->DeleteSubrange(0, 1);
-  note(effects, "config.propose",
-       {{"version", std::to_string(next.version())}, {"change", operation.change()}});
+  note(effects, "config.propose", {{"version", std::to_string(next.version())}, {"change", operation.change()}});
   register_propose(owner, member, core, next.SerializeAsString(), now, effects);
   state.under_way = std::move(job);
 }
@@ -170,8 +169,7 @@
   }
 }
 
-void config_committed(ConfigDutyState& state, const MemberState& member, const RegisterState& owner,
-                      Effects& effects) {
+void config_committed(ConfigDutyState& state, const MemberState& member, const RegisterState& owner, Effects& effects) {
   config_held(state, owner);
   note(effects, "config.accepted", {{"version", std::to_string(state.current.version())}});
   if (!state.under_way) return;
--- a/src/core/configduty.hpp
+++ b/src/core/configduty.hpp
@@ -32,8 +32,7 @@
 void config_tick(ConfigDutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
                  Moment now, Effects& effects);
 /// A change has its majority.
-void config_committed(ConfigDutyState& state, const MemberState& member, const RegisterState& owner,
-                      Effects& effects);
+void config_committed(ConfigDutyState& state, const MemberState& member, const RegisterState& owner, Effects& effects);
 /// The key is lost: the change under way is unknown, all others never took effect.
 void config_lost(ConfigDutyState& state, const MemberState& member, Effects& effects);
 
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -13,8 +13,12 @@
 
 StewardContext steward_context(ControlState& state, Moment now) {
   static const ConfigDocument none;
-  return {state.member, state.formation.core, state.document ? *state.document : none, state.owners[placement_key],
-          state.numbers, now};
+  return {state.member,
+          state.formation.core,
+          state.document ? *state.document : none,
+          state.owners[placement_key],
+          state.numbers,
+          now};
 }
 
 void publish(ControlState& state, const RegisterState& owner, Effects& effects) {
@@ -54,7 +58,8 @@
     placing_committed(state.placing, control_placing(state, now), effects);
   else
     steward_committed(state.steward, owner);
-  if (state.drain_under_way) operate_answer(state.member, *state.drain_under_way, 200, R"({"outcome":"accepted"})", effects);
+  if (state.drain_under_way)
+    operate_answer(state.member, *state.drain_under_way, 200, R"({"outcome":"accepted"})", effects);
   state.drain_under_way.reset();
 }
 
@@ -65,9 +70,11 @@
   if (owner.key != placement_key) return;
   steward_end(state.steward, effects);
   placing_end(state.placing, effects);
-  if (state.drain_under_way) operate_refuse(state.member, *state.drain_under_way, 504, "owner_lost", "unknown", {}, effects);
+  if (state.drain_under_way)
+    operate_refuse(state.member, *state.drain_under_way, 504, "owner_lost", "unknown", {}, effects);
   state.drain_under_way.reset();
-  for (const auto& item : state.drains) operate_refuse(state.member, item.asker, 503, "owner_lost", "refused", {}, effects);
+  for (const auto& item : state.drains)
+    operate_refuse(state.member, item.asker, 503, "owner_lost", "refused", {}, effects);
   state.drains.clear();
 }
 
@@ -119,7 +126,8 @@
   formation_tick(state.formation, state.member, event.random, now, effects);
   for (auto& [key, owner] : state.owners) {
     control_signal(state, owner, register_tick(owner, state.member, state.formation.core, now, effects), now, effects);
-    if (owner.phase != OwnerPhase::idle && !owner.proposal && duty_excluded(state.duty, state.member, state.formation.core))
+    if (owner.phase != OwnerPhase::idle && !owner.proposal &&
+        duty_excluded(state.duty, state.member, state.formation.core))
       give_up(state, owner, now, effects);
     if (owner.phase == OwnerPhase::idle &&
         duty_wanted(state.duty, state.member, state.formation.core, owner, state.acceptor, now))
@@ -150,8 +158,14 @@
 }  // namespace
 
 PlacingContext control_placing(ControlState& state, Moment now) {
-  return {state.member, state.formation.core, state.paths ? &*state.paths : nullptr, state.owners[placement_key],
-          state.numbers, *state.options.dialect, state.options.limits, now};
+  return {state.member,
+          state.formation.core,
+          state.paths ? &*state.paths : nullptr,
+          state.owners[placement_key],
+          state.numbers,
+          *state.options.dialect,
+          state.options.limits,
+          now};
 }
 
 void control_signal(ControlState& state, RegisterState& owner, RegisterSignal what, Moment now, Effects& effects) {
@@ -172,7 +186,8 @@
   state.repair.replace_after = options.replace_after;
   state.config_duty.dialect = options.dialect;
   if (options.dialect != nullptr) state.operate.patience = bound / asks_per_bound;
-  state.recover.bound = state.duty.bound = state.repair.bound = state.vote.bound = state.news.bound = state.operate.bound = state.steward.bound = state.placing.bound = bound;
+  state.recover.bound = state.duty.bound = state.repair.bound = state.vote.bound = state.news.bound =
+      state.operate.bound = state.steward.bound = state.placing.bound = bound;
   state.vote.kept = options.claims_kept;
   if (options.dialect != nullptr) state.news.control_only = {placement_key};
   state.steward.platform.address = options.platform;
@@ -188,7 +203,8 @@
   Effects effects;
   if (const auto* started = std::get_if<Started>(&event)) on_start(state, *started, now, effects);
   if (const auto* ticked = std::get_if<Ticked>(&event)) on_tick(state, *ticked, now, effects);
-  if (const auto* message = std::get_if<MessageArrived>(&event)) control_message(state, message->envelope, now, effects);
+  if (const auto* message = std::get_if<MessageArrived>(&event))
+    control_message(state, message->envelope, now, effects);
   if (const auto* request = std::get_if<RequestArrived>(&event)) {
     const Asker asker{request->request, 0, {}};
     const auto* dialect = state.options.dialect;
--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -59,7 +59,8 @@
     control_use_drains(state, placement);
 }
 
-void control_operate(ControlState& state, const Asker& asker, const wire::Operate& operation, Moment now, Effects& effects) {
+void control_operate(ControlState& state, const Asker& asker, const wire::Operate& operation, Moment now,
+                     Effects& effects) {
   if (operation.path() == "/v1/core/recover")
     return recover_ask(state.recover, control_recovery(state, now), asker, operation, effects);
   if (operate_local(state.member, operation, control_status_text(state, now), asker, effects)) return;
@@ -105,8 +106,7 @@
   if (envelope.has_copy_answer())
     repair_answered(state.repair, state.acceptor, state.vote, state.formation, envelope, now, effects);
   if (envelope.has_copy_answer()) recover_answered(state.recover, control_recovery(state, now), envelope);
-  if (envelope.has_claim() && state.options.has_disk)
-    vote_receive(state.vote, state.member, envelope, now, effects);
+  if (envelope.has_claim() && state.options.has_disk) vote_receive(state.vote, state.member, envelope, now, effects);
   if (envelope.has_prepare() && envelope.from() != state.member.self.node())
     duty_tried(state.duty, envelope.prepare().key(), now);
   if (envelope.has_ping()) {
@@ -127,15 +127,15 @@
     for (const auto& value : envelope.news().values()) control_learn(state, value, effects);
   }
   if (envelope.has_operate())
-    control_operate(state, {envelope.operate().request(), envelope.from(), envelope.address()}, envelope.operate(), now, effects);
+    control_operate(state, {envelope.operate().request(), envelope.from(), envelope.address()}, envelope.operate(), now,
+                    effects);
   if (envelope.has_operated()) operate_answered(state.operate, envelope, effects);
   if (envelope.has_counter_report() && state.steward.term != 0) {
     demand_receive(state.steward.demand, envelope, now);
     for (const auto& backlog : envelope.counter_report().backlogs())
       if (backlog.waiting() > 0) state.steward.next_decision = std::min(state.steward.next_decision, now);
   }
-  if (state.options.dialect != nullptr)
-    placing_message(state.placing, control_placing(state, now), envelope, effects);
+  if (state.options.dialect != nullptr) placing_message(state.placing, control_placing(state, now), envelope, effects);
   const auto key = envelope.has_promise()    ? envelope.promise().key()
                    : envelope.has_accepted() ? envelope.accepted().key()
                    : envelope.has_checked()  ? envelope.checked().key()
@@ -143,7 +143,8 @@
   const auto owner = state.owners.find(key);
   if (owner == state.owners.end()) return;
   control_signal(state, owner->second,
-         register_receive(owner->second, state.member, state.formation.core, envelope, now, effects), now, effects);
+                 register_receive(owner->second, state.member, state.formation.core, envelope, now, effects), now,
+                 effects);
 }
 
 }  // namespace weldsail
--- a/src/core/controlview.cpp
+++ b/src/core/controlview.cpp
@@ -91,9 +91,12 @@
   text.key("doubtful_pulls").array();
   for (const auto& [address, doubt] : state.steward.orders.pulls.doubts) text.item(address);
   text.end().number("unsynced", state.acceptor.waiting.size() + state.vote.waiting.size());
-  text.number("votes", state.vote.votes.size()).truth("drained", state.duty.drained.contains(state.member.self.address()));
+  text.number("votes", state.vote.votes.size())
+      .truth("drained", state.duty.drained.contains(state.member.self.address()));
   text.number("in_hand", state.operate.forwarded.size());
-  text.number("orders_sent", state.steward.orders.sent + state.placing.command.sent).truth("leaving", state.member.leaving).close();
+  text.number("orders_sent", state.steward.orders.sent + state.placing.command.sent)
+      .truth("leaving", state.member.leaving)
+      .close();
   return text.text();
 }
 
@@ -101,11 +104,13 @@
                                Effects& effects) {
   const bool both = state.options.dialect != nullptr;
   if (operation.path() == "/v1/workers")
-    operate_answer(state.member, asker, 200, both ? placing_workers_text(state.placing) : workers_text(state, now), effects);
+    operate_answer(state.member, asker, 200, both ? placing_workers_text(state.placing) : workers_text(state, now),
+                   effects);
   else if (operation.path() == "/v1/placements")
     operate_answer(state.member, asker, 200, both ? placing_text(state.placing) : placements_text(state, now), effects);
   else if (operation.path() == "/v1/holds")
-    operate_answer(state.member, asker, 200, both ? placing_holds_text(state.placing, now) : holds_text(state, now), effects);
+    operate_answer(state.member, asker, 200, both ? placing_holds_text(state.placing, now) : holds_text(state, now),
+                   effects);
   else if (operation.path() == "/v1/drain" && operation.method() == "POST") {
     rapidjson::Document body;
     body.Parse<json_strict>(operation.body().data(), operation.body().size());
--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -35,16 +35,18 @@
 void use_news(DataState& state, Moment now, Effects& effects) {
   const auto config = state.news.values.find(config_key);
   const auto version = config == state.news.values.end() ? 0 : config->second.version();
-  const bool allowed = version > state.document_version &&
-                       (state.document_version != 0 || may_begin_with(state, version, now));
+  const bool allowed =
+      version > state.document_version && (state.document_version != 0 || may_begin_with(state, version, now));
   if (allowed && memo_keep(state.memo, state.member, state.news, version, now, effects)) {
     wire::ConfigValue value;
     if (value.ParseFromString(config->second.value()) && read_document(state, value.document())) {
       state.document_version = version;
       member_config(state.member, version);
       note(effects, "config.in_force", {{"version", std::to_string(state.document_version)}});
-      if (state.options.dialect != nullptr) path_configure(state, value.document(), now, effects);
-      else reroute_held(state, now, effects);
+      if (state.options.dialect != nullptr)
+        path_configure(state, value.document(), now, effects);
+      else
+        reroute_held(state, now, effects);
     }
   }
   const auto placement = state.news.values.find(placement_key);
@@ -174,7 +176,8 @@
     member_start(state.member, started->random, 0, now);
     memo_start(state.memo, started->records, state.member, state.news, now);
   }
-  if (const auto* persisted = std::get_if<Persisted>(&event); persisted != nullptr && memo_persisted(state.memo, *persisted))
+  if (const auto* persisted = std::get_if<Persisted>(&event);
+      persisted != nullptr && memo_persisted(state.memo, *persisted))
     use_news(state, now, effects);
   if (const auto* ticked = std::get_if<Ticked>(&event)) on_tick(state, *ticked, now, effects);
   if (const auto* message = std::get_if<MessageArrived>(&event)) on_message(state, message->envelope, now, effects);
--- a/src/core/decision.cpp
+++ b/src/core/decision.cpp
@@ -13,8 +13,7 @@
   return std::ranges::none_of(placement.workers(), [&](const wire::WorkerRecord& record) {
     const auto view = state.watch.views.find(record.address());
     return !holds_unit(record, unit) && view != state.watch.views.end() &&
-           worker_present(state.watch, view->second, now) &&
-           view->second.status->models.contains(unit_model(unit));
+           worker_present(state.watch, view->second, now) && view->second.status->models.contains(unit_model(unit));
   });
 }
 
@@ -33,8 +32,8 @@
   return standing;
 }
 
-void move_vector(StewardState& state, wire::UnitRecord& record, const PhaseVector& chosen, const StewardContext& context,
-                 Effects& effects) {
+void move_vector(StewardState& state, wire::UnitRecord& record, const PhaseVector& chosen,
+                 const StewardContext& context, Effects& effects) {
   const PhaseVector current{record.vector().prefill(), record.vector().decode()};
   if (chosen == current) return;
   auto& clocks = state.clocks[record.unit()];
@@ -55,8 +54,11 @@
     record.set_retiring(true);
   }
   note(effects, "scaler.vector",
-       {{"unit", record.unit()}, {"from", text_of(before)}, {"to", text_of(record.vector())},
-        {"reason", clocks.reason}, {"term", std::to_string(state.term)}});
+       {{"unit", record.unit()},
+        {"from", text_of(before)},
+        {"to", text_of(record.vector())},
+        {"reason", clocks.reason},
+        {"term", std::to_string(state.term)}});
 }
 
 }  // namespace
@@ -79,9 +81,9 @@
   std::ranges::sort(*records, {}, [](const wire::UnitRecord& record) { return record.unit(); });
   for (auto& worker : *placement.mutable_workers()) {
     auto* held = worker.mutable_units();
-    held->erase(std::remove_if(held->begin(), held->end(),
-                               [&](const std::string& unit) { return !units.contains(unit); }),
-                held->end());
+    held->erase(
+        std::remove_if(held->begin(), held->end(), [&](const std::string& unit) { return !units.contains(unit); }),
+        held->end());
   }
 }
 
@@ -94,8 +96,8 @@
       records->DeleteSubrange(place, 1);
   }
   for (const auto& [address, service] : state.platform.services) {
-    const auto known = std::ranges::any_of(
-        *records, [&](const wire::WorkerRecord& record) { return record.address() == address; });
+    const auto known =
+        std::ranges::any_of(*records, [&](const wire::WorkerRecord& record) { return record.address() == address; });
     if (known) continue;
     auto* record = placement.add_workers();
     record->set_id(address);
@@ -137,8 +139,8 @@
     const auto advice = scaler_advise(clocks.history, standing, options, context.now);
     clocks.reason = std::string(cold ? "Held:" : "") + advice.prefill.reason + "," + advice.decode.reason;
     const auto& model = context.document.models.at(unit_model(record.unit()));
-    move_vector(state, record,
-                scaler_constrain(clocks.history, advice, standing, model, options, context.now), context, effects);
+    move_vector(state, record, scaler_constrain(clocks.history, advice, standing, model, options, context.now), context,
+                effects);
   }
 }
 
--- a/src/core/demand.cpp
+++ b/src/core/demand.cpp
@@ -127,8 +127,7 @@
     const auto found = state.backlogs.find(entry->node());
     if (found == state.backlogs.end() || now - found->second.heard > state.bound) all_known = false;
   }
-  for (const auto& unit : units)
-    result[unit].quiet = all_known ? std::numeric_limits<Moment>::max() / 2 : 0;
+  for (const auto& unit : units) result[unit].quiet = all_known ? std::numeric_limits<Moment>::max() / 2 : 0;
   for (const auto& [node, entry] : state.backlogs) {
     const auto age = now - entry.heard;
     if (age > state.bound) continue;
@@ -141,7 +140,8 @@
       demand.prompt_tokens += static_cast<double>(backlog.prompt_tokens());
       demand.generation_tokens += static_cast<double>(backlog.generation_tokens());
       demand.quiet = std::min(demand.quiet, static_cast<Moment>(backlog.quiet_ms()) + age);
-      if (backlog.waiting() > 0) demand.oldest = std::max(demand.oldest, static_cast<Moment>(backlog.oldest_ms()) + age);
+      if (backlog.waiting() > 0)
+        demand.oldest = std::max(demand.oldest, static_cast<Moment>(backlog.oldest_ms()) + age);
       for (const auto& adapter : backlog.adapters())
         if (std::ranges::find(demand.adapters, adapter) == demand.adapters.end()) demand.adapters.push_back(adapter);
     }
--- a/src/core/dialect.hpp
+++ b/src/core/dialect.hpp
@@ -104,7 +104,8 @@
   const char* ready_path;
   ReadPathConfig (*read_config)(const std::string& document);
   /// Applies named changes to a document.
-  std::expected<std::string, std::vector<Fault>> (*amend_config)(const std::string& document, const std::string& change);
+  std::expected<std::string, std::vector<Fault>> (*amend_config)(const std::string& document,
+                                                                 const std::string& change);
   /// Nothing where the path is no call on the configuration.
   std::optional<ConfigCall> (*read_config_call)(const RequestArrived& event);
   /// Nothing where the request can't be understood.
--- a/src/core/dispatch.cpp
+++ b/src/core/dispatch.cpp
@@ -23,7 +23,8 @@
       const auto& carry = state.carries.at(request);
       const auto patience = (carry.ledger.hold_due - carry.arrived) / deferred_patience;
       const bool yields = carry.route.kind == RouteKind::deferred && now - carry.arrived < patience;
-      waiting.push_back({request, carry.tenant, {name, carry.route.adapter}, yields, !carry.ledger.attempts.empty(), false});
+      waiting.push_back(
+          {request, carry.tenant, {name, carry.route.adapter}, yields, !carry.ledger.attempts.empty(), false});
     }
   return waiting;
 }
--- a/src/core/duty.cpp
+++ b/src/core/duty.cpp
@@ -14,7 +14,8 @@
                      const wire::Member* silent) {
   std::vector<std::uint64_t> candidates;
   for (const auto* entry : live_members(member, Program::control))
-    if (entry != silent && core_old(core, entry->disk()) && !state.drained.contains(entry->address())) candidates.push_back(entry->node());
+    if (entry != silent && core_old(core, entry->disk()) && !state.drained.contains(entry->address()))
+      candidates.push_back(entry->node());
   const auto order = rendezvous_order(digest(key), std::move(candidates));
   return static_cast<std::size_t>(std::ranges::find(order, member.self.node()) - order.begin());
 }
@@ -82,9 +83,8 @@
   if (!core.formed() || !core_old(core, member.self.disk()) || member.leaving) return false;
   if (duty_excluded(state, member, core) || !hears_majority(member, core)) return false;
   if (state.behind && now - *state.behind < state.bound) return false;
-  const bool all_seen = std::ranges::all_of(core.disks(), [&](const wire::CoreDisk& item) {
-    return member_disk_live(member, item.disk());
-  });
+  const bool all_seen = std::ranges::all_of(
+      core.disks(), [&](const wire::CoreDisk& item) { return member_disk_live(member, item.disk()); });
   if (!all_seen && now - state.started < state.bound) return false;
   if (!view.vacant_since) view.vacant_since = now;
   if (view.epoch != 0 && now - view.changed < state.bound) return false;
--- a/src/core/fleet/listing.cpp
+++ b/src/core/fleet/listing.cpp
@@ -17,8 +17,8 @@
   state.retry_after = 0;
   state.body.clear();
   ++state.pages;
-  effects.push_back(OpenPipe{state.pipe, limits.list_address, "GET", state.path, {}, {}, false,
-                             now + limits.contact / dues_per_contact});
+  effects.push_back(OpenPipe{
+      state.pipe, limits.list_address, "GET", state.path, {}, {}, false, now + limits.contact / dues_per_contact});
 }
 
 void fail(ListState& state, const char* cause, Moment now, Effects& effects) {
@@ -59,8 +59,8 @@
   ask_page(state, limits, numbers, now, effects);
 }
 
-bool list_pipe(ListState& state, const Limits& limits, const Dialect& dialect, PipeNumbers& numbers,
-               const Event& event, Moment now, Effects& effects) {
+bool list_pipe(ListState& state, const Limits& limits, const Dialect& dialect, PipeNumbers& numbers, const Event& event,
+               Moment now, Effects& effects) {
   if (state.pipe == 0) return false;
   if (const auto* head = std::get_if<PipeHead>(&event); head != nullptr && head->pipe == state.pipe) {
     state.answer = head->status;
--- a/src/core/fleet/listing.hpp
+++ b/src/core/fleet/listing.hpp
@@ -29,8 +29,8 @@
 void list_tick(ListState& state, const Limits& limits, const Dialect& dialect, PipeNumbers& numbers, Moment now,
                Effects& effects);
 /// Takes a pipe's event; true when a whole new list has come in. A failed ask keeps the last list.
-bool list_pipe(ListState& state, const Limits& limits, const Dialect& dialect, PipeNumbers& numbers,
-               const Event& event, Moment now, Effects& effects);
+bool list_pipe(ListState& state, const Limits& limits, const Dialect& dialect, PipeNumbers& numbers, const Event& event,
+               Moment now, Effects& effects);
 /// Drops an ask that is under way.
 void list_end(ListState& state, Effects& effects);
 
--- a/src/core/fleet/view.cpp
+++ b/src/core/fleet/view.cpp
@@ -79,7 +79,8 @@
   if (as_of <= known.as_of) return;
   const auto passed = static_cast<std::uint64_t>(as_of - known.as_of);
   for (auto& worker : known.workers) {
-    if (worker.remaining_ms() > 0) worker.set_remaining_ms(std::max<std::uint64_t>(worker.remaining_ms(), passed + 1) - passed);
+    if (worker.remaining_ms() > 0)
+      worker.set_remaining_ms(std::max<std::uint64_t>(worker.remaining_ms(), passed + 1) - passed);
     if (worker.warm_ms() > 0) worker.set_warm_ms(std::max<std::uint64_t>(worker.warm_ms(), passed) - passed);
   }
   known.as_of = as_of;
--- a/src/core/formation.cpp
+++ b/src/core/formation.cpp
@@ -56,7 +56,7 @@
 }
 
 void bind_core(FormationState& state, const MemberState& member, const std::vector<std::uint64_t>& disks,
-          std::uint64_t random, Effects& effects) {
+               std::uint64_t random, Effects& effects) {
   state.core.Clear();
   state.core.set_cluster(mix(random ^ member.self.disk()) | 1U);
   state.core.set_version(1);
@@ -124,10 +124,12 @@
 }
 
 void keep_binding(FormationState& state, const MemberState& member, Moment now, Effects& effects) {
-  const auto lost = std::ranges::count_if(state.core.disks(),
-                                          [&](const wire::CoreDisk& item) { return !member_disk_live(member, item.disk()); });
-  if (lost == 0) state.missing_since.reset();
-  else if (!state.missing_since) state.missing_since = now;
+  const auto lost = std::ranges::count_if(
+      state.core.disks(), [&](const wire::CoreDisk& item) { return !member_disk_live(member, item.disk()); });
+  if (lost == 0)
+    state.missing_since.reset();
+  else if (!state.missing_since)
+    state.missing_since = now;
   const bool long_lost = state.missing_since && now - *state.missing_since > lost_bounds * member.options.bound;
   const bool alone_lost = lost == 1 && !member_disk_live(member, state.core.disks(0).disk());
   const auto* first = find_disk(member, state.core.disks(0).disk());
@@ -229,10 +231,11 @@
     if (state.phase != CorePhase::formed) change_phase(state, CorePhase::formed, effects);
     keep_core(state, effects);
   }
-  note(effects, "core.learned", {{"cluster", std::to_string(core.cluster())},
-                                   {"version", std::to_string(core.version())},
-                                   {"disks", std::to_string(core.disks_size())},
-                                   {"next", std::to_string(core.next_size())}});
+  note(effects, "core.learned",
+       {{"cluster", std::to_string(core.cluster())},
+        {"version", std::to_string(core.version())},
+        {"disks", std::to_string(core.disks_size())},
+        {"next", std::to_string(core.next_size())}});
 }
 
 }  // namespace weldsail
--- a/src/core/founders.cpp
+++ b/src/core/founders.cpp
@@ -24,8 +24,7 @@
 void formation_keep_founders(FormationState& state, const Records& records, bool fresh, Effects& effects) {
   std::string text;
   for (const auto& founder : state.founders) text += founder + "\n";
-  if (fresh && !text.empty())
-    effects.push_back(Persist{formation_tokens + state.next_token++, {{"founders", text}}});
+  if (fresh && !text.empty()) effects.push_back(Persist{formation_tokens + state.next_token++, {{"founders", text}}});
   const auto kept = records.find("founders");
   if (fresh || kept == records.end()) return;
   state.founders.clear();
--- a/src/core/gossip.cpp
+++ b/src/core/gossip.cpp
@@ -33,8 +33,10 @@
   for (std::size_t place = 0; place < count; ++place) {
     const auto node = order[place].second;
     const auto found = state.others.find(node);
-    if (node == state.self.node()) *ping.add_members() = state.self;
-    else if (found != state.others.end()) *ping.add_members() = found->second.entry;
+    if (node == state.self.node())
+      *ping.add_members() = state.self;
+    else if (found != state.others.end())
+      *ping.add_members() = found->second.entry;
     if (++state.rumours[node] >= limit || (node != state.self.node() && found == state.others.end()))
       state.rumours.erase(node);
   }
@@ -48,7 +50,8 @@
 /// A node that is taken for gone must hear of it to refute it.
 void add_doubt(const MemberState& state, std::uint64_t target, wire::Ping& ping) {
   const auto found = state.others.find(target);
-  if (found == state.others.end() || found->second.entry.state() == static_cast<std::uint32_t>(MemberPhase::alive)) return;
+  if (found == state.others.end() || found->second.entry.state() == static_cast<std::uint32_t>(MemberPhase::alive))
+    return;
   *ping.add_members() = found->second.entry;
 }
 
@@ -85,8 +88,8 @@
                    Moment now, Effects& effects) {
   const auto& ping = envelope.ping();
   const bool unknown = !state.others.contains(envelope.from());
-  const bool introduced = std::ranges::any_of(
-      ping.members(), [&](const wire::Member& entry) { return entry.node() == envelope.from(); });
+  const bool introduced =
+      std::ranges::any_of(ping.members(), [&](const wire::Member& entry) { return entry.node() == envelope.from(); });
   if (!ping.answer() && unknown && !introduced) {
     effects.push_back(SendMessage{envelope.address(), gossip_ping(state, 0, PingKind::stranger, known, now)});
     return;
--- a/src/core/member.cpp
+++ b/src/core/member.cpp
@@ -123,8 +123,8 @@
 }
 
 /// Tries seeds and broken members' addresses in turn; a large fleet shares the tries among its members.
-void try_stranger(MemberState& state, std::size_t members, bool alone, const std::vector<wire::Known>& known, Moment now,
-                  Effects& effects) {
+void try_stranger(MemberState& state, std::size_t members, bool alone, const std::vector<wire::Known>& known,
+                  Moment now, Effects& effects) {
   std::set<std::string> strangers(state.options.seeds.begin(), state.options.seeds.end());
   strangers.erase(state.self.address());
   for (const auto& [node, view] : state.others)
@@ -193,7 +193,8 @@
       judge(state, view, now, effects);
   }
   for (const auto node : watched)
-    effects.push_back(SendMessage{state.others.at(node).entry.address(), gossip_ping(state, node, PingKind::watch, known, now)});
+    effects.push_back(
+        SendMessage{state.others.at(node).entry.address(), gossip_ping(state, node, PingKind::watch, known, now)});
   if (!candidates.empty()) {
     const auto& partner = candidates[mix(state.self.node() ^ mix(state.turn)) % candidates.size()]->entry;
     effects.push_back(SendMessage{partner.address(), gossip_ping(state, partner.node(), PingKind::wander, known, now)});
@@ -226,7 +227,8 @@
   member_announce(state);
   for (const auto& [node, view] : state.others)
     if (live(view))
-      effects.push_back(SendMessage{view.entry.address(), gossip_ping(state, node, PingKind::farewell, known, state.last_tick)});
+      effects.push_back(
+          SendMessage{view.entry.address(), gossip_ping(state, node, PingKind::farewell, known, state.last_tick)});
 }
 
 }  // namespace weldsail
--- a/src/core/news.cpp
+++ b/src/core/news.cpp
@@ -19,8 +19,8 @@
   return found != member.others.end() && found->second.entry.program() == static_cast<std::uint32_t>(Program::data);
 }
 
-bool answer_news(const NewsState& state, const MemberState& member, const wire::Core& core,
-                 const wire::Envelope& ask, Effects& effects) {
+bool answer_news(const NewsState& state, const MemberState& member, const wire::Core& core, const wire::Envelope& ask,
+                 Effects& effects) {
   auto envelope = member_envelope(member, ask.from());
   auto* news = envelope.mutable_news();
   const bool data = !state.control_only.empty() && asks_as_data(member, ask.from());
@@ -87,8 +87,8 @@
 }
 
 void news_tick(NewsState& state, const MemberState& member, Moment now, Effects& effects) {
-  const auto open = std::ranges::count_if(
-      state.asked, [&](const auto& item) { return now - item.second < state.bound / 3; });
+  const auto open =
+      std::ranges::count_if(state.asked, [&](const auto& item) { return now - item.second < state.bound / 3; });
   if (open >= sources) return;
   for (const auto* source : pick_sources(member)) {
     const auto found = state.asked.find(source->node());
--- a/src/core/operate.cpp
+++ b/src/core/operate.cpp
@@ -46,10 +46,9 @@
 
 bool operate_path(const std::string& path) {
   static constexpr const char* roots[] = {"/v1/config", "/v1/members", "/v1/workers", "/v1/placements",
-                                          "/v1/holds",  "/v1/status",  "/v1/drain",  "/v1/core"};
-  return std::ranges::any_of(roots, [&](const std::string& root) {
-    return path == root || path.starts_with(root + "/");
-  });
+                                          "/v1/holds",  "/v1/status",  "/v1/drain",   "/v1/core"};
+  return std::ranges::any_of(roots,
+                             [&](const std::string& root) { return path == root || path.starts_with(root + "/"); });
 }
 
 std::optional<std::string> operate_key(const std::string& path) {
@@ -64,7 +63,8 @@
 }
 
 bool operate_readable(const RequestArrived& event) {
-  return plain_text(event.method) && plain_text(event.path) && plain_text(header_value(event.headers, "weldsail-base")) &&
+  return plain_text(event.method) && plain_text(event.path) &&
+         plain_text(header_value(event.headers, "weldsail-base")) &&
          plain_text(header_value(event.headers, "weldsail-change"));
 }
 
@@ -130,7 +130,8 @@
   std::vector<Header> headers{{"content-type", "application/json"}};
   if (!answer.version().empty()) headers.push_back({"weldsail-version", answer.version()});
   if (answer.status() == 503) headers.push_back({"retry-after", "1"});
-  effects.push_back(Answer{found->second.request, static_cast<int>(answer.status()), std::move(headers), answer.body()});
+  effects.push_back(
+      Answer{found->second.request, static_cast<int>(answer.status()), std::move(headers), answer.body()});
   state.forwarded.erase(found);
 }
 
--- a/src/core/operate.hpp
+++ b/src/core/operate.hpp
@@ -46,8 +46,8 @@
 /// A document of faults; without any it says that all is valid.
 std::string operate_faults(const std::vector<Fault>& faults, const std::string& change);
 /// Carries an operation to the key's holder.
-void operate_forward(OperateState& state, const MemberState& member, wire::Operate operation,
-                     const std::string& key, std::uint64_t request, Moment now, Effects& effects);
+void operate_forward(OperateState& state, const MemberState& member, wire::Operate operation, const std::string& key,
+                     std::uint64_t request, Moment now, Effects& effects);
 void operate_answered(OperateState& state, const wire::Envelope& envelope, Effects& effects);
 void operate_tick(OperateState& state, const MemberState& member, Moment now, Effects& effects);
 /// Answers what any node can by itself; false when the path is for an owner.
--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -46,8 +46,14 @@
     body.close();
     note(effects, "order.sent",
          {{"worker", view.address}, {"path", path_of(kind)}, {"name", name}, {"epoch", std::to_string(state.term)}});
-    effects.push_back(OpenPipe{pipe, view.address, "POST", path_of(kind), {{"content-type", "application/json"}},
-                               body.text(), true, input.now + state.bound});
+    effects.push_back(OpenPipe{pipe,
+                               view.address,
+                               "POST",
+                               path_of(kind),
+                               {{"content-type", "application/json"}},
+                               body.text(),
+                               true,
+                               input.now + state.bound});
   }
 
   void give(const WorkerView& view, OrderKind kind, const std::string& name, const std::string& unit) {
@@ -62,8 +68,8 @@
 
   void retire(const wire::WorkerRecord& record, const WorkerView& view) {
     for (const auto& [model, held] : view.status->models) {
-      const auto unit_held = std::ranges::any_of(
-          record.units(), [&](const std::string& unit) { return unit_model(unit) == model; });
+      const auto unit_held =
+          std::ranges::any_of(record.units(), [&](const std::string& unit) { return unit_model(unit) == model; });
       const auto key = view.address + "|" + model;
       if (unit_held) {
         state.unassigned_since.erase(key);
@@ -147,8 +153,11 @@
   const auto order = found->second;
   state.open.erase(found);
   note(effects, "order.ended",
-       {{"worker", order.address}, {"path", path_of(order.kind)}, {"name", order.name},
-        {"answer", std::to_string(order.answer)}, {"reason", ended->reason}});
+       {{"worker", order.address},
+        {"path", path_of(order.kind)},
+        {"name", order.name},
+        {"answer", std::to_string(order.answer)},
+        {"reason", ended->reason}});
   const bool answered = ended->whole && order.answer != 0;
   const bool done = answered && order.answer >= 200 && order.answer < 300;
   state.ended_at[order.address] = now;
@@ -173,7 +182,8 @@
   const auto found = state.ordered.find(view.address);
   if (found == state.ordered.end() || state.pulls.doubts.contains(view.address)) return;
   std::erase_if(found->second, [&](const OrderedLoad& item) {
-    const bool shown = item.adapter ? view.status->adapters.contains(item.name) : view.status->models.contains(item.name);
+    const bool shown =
+        item.adapter ? view.status->adapters.contains(item.name) : view.status->models.contains(item.name);
     return shown || (item.settled != 0 && view.heard > item.settled);
   });
 }
--- a/src/core/placer.cpp
+++ b/src/core/placer.cpp
@@ -96,9 +96,9 @@
   }
   const auto fits = [&](const std::string& adapter) {
     const auto found = input.document->adapters.find(adapter);
-    return found != input.document->adapters.end() &&
-           std::ranges::any_of(record.units(),
-                               [&](const std::string& unit) { return unit_model(unit) == found->second; });
+    return found != input.document->adapters.end() && std::ranges::any_of(record.units(), [&](const std::string& unit) {
+             return unit_model(unit) == found->second;
+           });
   };
   std::vector<std::string> kept;
   const auto add = [&](const std::string& adapter) {
@@ -143,8 +143,7 @@
   std::map<std::string, std::int64_t> models;
   for (const auto& unit : record.units()) models[unit_model(unit)] = weights_of(input, unit_model(unit));
   if (const auto found = input.ordered.find(record.address()); found != input.ordered.end())
-    for (const auto& model : found->second)
-      models[model] = std::max(models[model], weights_of(input, model));
+    for (const auto& model : found->second) models[model] = std::max(models[model], weights_of(input, model));
   const auto* view = view_of(input, record);
   if (view != nullptr && view->status)
     for (const auto& [model, held] : view->status->models)
@@ -206,8 +205,8 @@
   const auto idle_limit = static_cast<Moment>(input.document->scaler.idle_evict_s * 1000);
   const auto idle = [&](const std::string& unit, Moment held) {
     const auto found = input.demand.find(unit);
-    return found == input.demand.end() ||
-           (found->second.waiting == 0 && found->second.running == 0 && found->second.quiet >= std::max(idle_limit / 8, idle_limit - held));
+    return found == input.demand.end() || (found->second.waiting == 0 && found->second.running == 0 &&
+                                           found->second.quiet >= std::max(idle_limit / 8, idle_limit - held));
   };
   for (const auto& unit : units_by_need(placement, input)) {
     const auto demand = input.demand.find(unit);
--- a/src/core/placing/command.cpp
+++ b/src/core/placing/command.cpp
@@ -32,9 +32,11 @@
 void ask_report(CommandState& state, WorkerBook& book, const CommandContext& context, Effects& effects) {
   book.pipe_orders = false;
   ++state.reports;
-  open(state, book,
-       {0, {}, "GET", context.dialect.report_path, {}, {}, false, context.now + context.limits.contact / reports_due_part},
-       context, effects);
+  OpenPipe pipe{};
+  pipe.method = "GET";
+  pipe.path = context.dialect.report_path;
+  pipe.due = context.now + context.limits.contact / reports_due_part;
+  open(state, book, std::move(pipe), context, effects);
 }
 
 Moment expected_end(const SentOrder& sent, const WorkerBook& book, const CommandContext& context) {
@@ -201,10 +203,12 @@
   ++state.sent;
   book.order = SentOrder{order, context.now, false, from_store, false, {}};
   book.pipe_orders = true;
-  open(state, book,
-       {0, {}, "POST", context.dialect.order_path, {}, context.dialect.order_body(order), false,
-        context.now + context.limits.contact / orders_due_part},
-       context, effects);
+  OpenPipe pipe{};
+  pipe.method = "POST";
+  pipe.path = context.dialect.order_path;
+  pipe.body = context.dialect.order_body(order);
+  pipe.due = context.now + context.limits.contact / orders_due_part;
+  open(state, book, std::move(pipe), context, effects);
   return true;
 }
 
--- a/src/core/placing/counts.cpp
+++ b/src/core/placing/counts.cpp
@@ -60,7 +60,9 @@
     count.set_retiring(true);
   }
   note(effects, "scaler.count",
-       {{"unit", unit_name(count.service(), count.model())}, {"from", text_of(before)}, {"to", text_of(count.count())},
+       {{"unit", unit_name(count.service(), count.model())},
+        {"from", text_of(before)},
+        {"to", text_of(count.count())},
         {"reason", clocks.reason}});
 }
 
@@ -107,13 +109,14 @@
   options.decode_grace_s = 0;
   options.ratio_min = options.ratio_max = 1;
   options.prefill_tokens_per_s = prefill_tokens;
-  options.decode_tokens_per_s =
-      decode_tokens_per_slot * std::max(least_slots, static_cast<double>(service.slots));
+  options.decode_tokens_per_s = decode_tokens_per_slot * std::max(least_slots, static_cast<double>(service.slots));
   for (const auto& route : paths.routes) {
-    const bool goes = std::ranges::any_of(route.shares, [&](const auto& share) { return share.service == service.name; });
+    const bool goes =
+        std::ranges::any_of(route.shares, [&](const auto& share) { return share.service == service.name; });
     if (!goes || !route.by_model || route.aim <= 0) continue;
     options.ttft_target_ms = std::min(options.ttft_target_ms, static_cast<double>(route.aim));
-    if (route.gap_aim > 0) options.itl_target_ms = std::max(options.itl_target_ms, static_cast<double>(route.gap_aim) / 2);
+    if (route.gap_aim > 0)
+      options.itl_target_ms = std::max(options.itl_target_ms, static_cast<double>(route.gap_aim) / 2);
   }
   return options;
 }
@@ -127,8 +130,8 @@
                          Moment now) {
   const auto stable = scaler_rates(history, options.stable_window_s, now);
   const auto panic = scaler_rates(history, options.panic_window_s, now);
-  const auto waiting = need(standing.waiting_prompt_tokens, standing.waiting_generation_tokens, options) /
-                       options.panic_window_s;
+  const auto waiting =
+      need(standing.waiting_prompt_tokens, standing.waiting_generation_tokens, options) / options.panic_window_s;
   const auto lately = need(panic.missed, panic.generated, options) + waiting;
   Latencies first_token;
   Latencies inter_token;
@@ -143,8 +146,13 @@
     const auto found = latency_percentile(latencies, share);
     return found && !measured ? std::optional(0.0) : found;
   };
-  const PhaseDemand demand{need(stable.missed, stable.generated, options) + waiting, lately, 1,
-                           standing.current.prefill, standing.ready.prefill, {}, 1};
+  const PhaseDemand demand{need(stable.missed, stable.generated, options) + waiting,
+                           lately,
+                           1,
+                           standing.current.prefill,
+                           standing.ready.prefill,
+                           {},
+                           1};
   auto first = demand;
   first.latency = latency(first_token);
   first.latency_target = options.ttft_target_ms;
@@ -171,7 +179,8 @@
       const bool taken = ready_holders(plan, input, unit) >= count.count();
       const bool late = past(own.pending_since, options.pending_timeout_s, input.now);
       if (late && !taken) {
-        note(effects, "scaler.rollback", {{"unit", unit}, {"from", text_of(count.count())}, {"to", text_of(count.baseline())}});
+        note(effects, "scaler.rollback",
+             {{"unit", unit}, {"from", text_of(count.count())}, {"to", text_of(count.baseline())}});
         count.set_count(count.baseline());
       }
       if (taken || late) {
--- a/src/core/placing/enact.cpp
+++ b/src/core/placing/enact.cpp
@@ -87,7 +87,8 @@
   std::ranges::stable_sort(candidates, {}, &Candidate::rank);
   const CommandContext command{*context.paths, context.dialect, context.limits, context.numbers, context.now};
   for (auto& candidate : candidates)
-    if (command_give(state.command, state.command.books.at(candidate.identity), std::move(candidate.order), command, effects))
+    if (command_give(state.command, state.command.books.at(candidate.identity), std::move(candidate.order), command,
+                     effects))
       state.unseen = true;
 }
 
@@ -127,8 +128,8 @@
     const auto planned = state.plan.workers.find(identity);
     std::erase_if(book.hidden, [&](const auto& item) { return !book.held.contains(item.first); });
     for (const auto& [model, adapters] : book.held) {
-      const bool stays = book_holds(book, model) &&
-                         (planned == state.plan.workers.end() || planned->second.models.contains(model));
+      const bool stays =
+          book_holds(book, model) && (planned == state.plan.workers.end() || planned->second.models.contains(model));
       if (!stays) {
         book.hidden.try_emplace(model, input.now);
         continue;
--- a/src/core/placing/fit.cpp
+++ b/src/core/placing/fit.cpp
@@ -44,8 +44,7 @@
 bool may_give_way(const PlanInput& input, const HolderPlan& plan, const std::string& victim, const UnitWants& taker) {
   const auto& demand = wants_of(input, victim).demand;
   if (!input.demand_known || demand.running > 0 || demand.waiting > 0 || plan.counts.at(victim).cooling()) return false;
-  const auto needed = std::max(input.bound / least_quiet_part,
-                               (input.bound - taker.demand.oldest) / wanted_quiet_part);
+  const auto needed = std::max(input.bound / least_quiet_part, (input.bound - taker.demand.oldest) / wanted_quiet_part);
   const auto own = taker.demand.waiting > 0 || taker.demand.running > 0 ? 0 : taker.demand.quiet;
   return demand.quiet >= needed && demand.quiet / quieter >= own;
 }
--- a/src/core/placing/placing.cpp
+++ b/src/core/placing/placing.cpp
@@ -139,7 +139,8 @@
     state.next_pass = context.now + state.bound * 2 / passes_per_bound;
     demand_ask(state.demand, context.member, context.now, effects);
   }
-  if (command_tick(state.command, {*context.paths, context.dialect, context.limits, context.numbers, context.now}, effects))
+  if (command_tick(state.command, {*context.paths, context.dialect, context.limits, context.numbers, context.now},
+                   effects))
     state.unseen = true;
   state.unsettled |= demand_ready(state.demand, context.now);
   const auto pace = state.bound / (state.unsettled ? decisions_per_bound : restless_decisions_per_bound);
--- a/src/core/pulls.cpp
+++ b/src/core/pulls.cpp
@@ -60,8 +60,10 @@
   std::vector<std::string> settled;
   for (auto& [address, doubt] : state.doubts) {
     const auto view = watch.views.find(address);
-    if (listed.contains(address)) doubt.unlisted_since.reset();
-    else if (!doubt.unlisted_since) doubt.unlisted_since = now;
+    if (listed.contains(address))
+      doubt.unlisted_since.reset();
+    else if (!doubt.unlisted_since)
+      doubt.unlisted_since = now;
     const bool gone = doubt.unlisted_since && now - *doubt.unlisted_since > unlisted_bounds * state.bound;
     const bool refused = view != watch.views.end() && view->second.refused > doubt.since;
     const bool another = view != watch.views.end() && view->second.status && view->second.heard > doubt.since &&
--- a/src/core/recover.cpp
+++ b/src/core/recover.cpp
@@ -19,7 +19,8 @@
   if (context.formation.phase != CorePhase::formed || !core_old(core, context.member.self.disk()))
     return "this process has no disk of the core";
   if (json_string_at(body, "/cluster") != std::to_string(core.cluster())) return "cluster isn't this cluster's id";
-  if (json_string_at(body, "/disk") != std::to_string(context.member.self.disk())) return "disk isn't this process's disk";
+  if (json_string_at(body, "/disk") != std::to_string(context.member.self.disk()))
+    return "disk isn't this process's disk";
   std::set<std::uint64_t> live;
   for (const auto disk : core_members(core))
     if (member_disk_live(context.member, disk)) live.insert(disk);
@@ -41,7 +42,8 @@
 void raise(RecoverState& state, const RecoverContext& context) {
   const auto seat = core_seat(context.formation.core, context.member.self.disk());
   std::uint64_t highest = 0;
-  for (const auto& [key, copy] : context.acceptor.copies) highest = std::max({highest, copy.promised, copy.accepted_epoch});
+  for (const auto& [key, copy] : context.acceptor.copies)
+    highest = std::max({highest, copy.promised, copy.accepted_epoch});
   const auto epoch = (highest / epoch_stride + unseen) * epoch_stride + seat;
   for (auto& [key, copy] : context.acceptor.copies) {
     copy.promised = copy.accepted_epoch = epoch;
--- a/src/core/register.cpp
+++ b/src/core/register.cpp
@@ -104,8 +104,10 @@
   return rounds.empty() ? 0 : rounds[rounds.size() / 2];
 }
 
-bool majority_of(const google::protobuf::RepeatedPtrField<wire::CoreDisk>& disks, const std::set<std::uint64_t>& given) {
-  const auto count = std::ranges::count_if(disks, [&](const wire::CoreDisk& item) { return given.contains(item.disk()); });
+bool majority_of(const google::protobuf::RepeatedPtrField<wire::CoreDisk>& disks,
+                 const std::set<std::uint64_t>& given) {
+  const auto count =
+      std::ranges::count_if(disks, [&](const wire::CoreDisk& item) { return given.contains(item.disk()); });
   return disks.size() > 0 && count * 2 > disks.size();
 }
 
@@ -223,8 +225,7 @@
 }
 
 bool register_may_act(const RegisterState& state, Moment now) {
-  return state.phase == OwnerPhase::holding && now >= state.acts_from &&
-         now - state.confirmed < register_lease(state);
+  return state.phase == OwnerPhase::holding && now >= state.acts_from && now - state.confirmed < register_lease(state);
 }
 
 }  // namespace weldsail
--- a/src/core/repair.cpp
+++ b/src/core/repair.cpp
@@ -62,8 +62,8 @@
   return next;
 }
 
-void begin_replace(RepairState& state, const MemberState& member, const FormationState& formation,
-                   RegisterState& owner, Moment now, Effects& effects) {
+void begin_replace(RepairState& state, const MemberState& member, const FormationState& formation, RegisterState& owner,
+                   Moment now, Effects& effects) {
   const auto& core = formation.core;
   const auto wait = state.replace_after != 0 ? state.replace_after : replace_bounds * state.bound;
   for (const auto& lost : core.disks()) {
@@ -90,7 +90,8 @@
   const auto ready = spares(member, core);
   const std::size_t wanted = disks % 2 == 1 && disks + 1 < state.target ? 2 : 1;
   if (ready.size() < wanted) return;
-  if (std::ranges::any_of(core.disks(), [&](const wire::CoreDisk& item) { return !present(member, item.disk()); })) return;
+  if (std::ranges::any_of(core.disks(), [&](const wire::CoreDisk& item) { return !present(member, item.disk()); }))
+    return;
   repair_set(member, formation, owner, 0, ready.front()->disk(), now, effects);
 }
 
@@ -171,7 +172,8 @@
   const auto& core = formation.core;
   const auto tag = core_tag(core);
   const bool joins = core_coming(core, member.self.disk()) && !core_old(core, member.self.disk());
-  if (!joins || state.committed < tag || CoreTag{member.self.copied_epoch(), member.self.copied_version()} == tag) return;
+  if (!joins || state.committed < tag || CoreTag{member.self.copied_epoch(), member.self.copied_version()} == tag)
+    return;
   if (state.copying != tag) state.copied_from.clear();
   state.copying = tag;
   if (now - state.asked < state.bound / 3) return;
--- a/src/core/report.cpp
+++ b/src/core/report.cpp
@@ -85,7 +85,9 @@
   std::uint64_t waiting = 0;
   for (const auto& [name, pool] : state.pools) waiting += pool.waiting.size();
   text.number("waiting", waiting).number("claiming", state.claiming.size());
-  text.truth("memo", state.memo.enabled).number("memo_version", state.memo.version).truth("memo_late", memo_late(state.memo, now));
+  text.truth("memo", state.memo.enabled)
+      .number("memo_version", state.memo.version)
+      .truth("memo_late", memo_late(state.memo, now));
   text.key("breakdowns").object();
   for (const auto& [reason, count] : totals.breakdowns) text.number(reason.c_str(), count);
   text.close();
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -21,8 +21,7 @@
 }
 
 bool history_spans(const UnitHistory& history, double window_s, Moment now) {
-  return !history.advice.empty() &&
-         static_cast<double>(now - history.advice.front().first) >= window_s * milliseconds;
+  return !history.advice.empty() && static_cast<double>(now - history.advice.front().first) >= window_s * milliseconds;
 }
 
 struct Range {
@@ -140,13 +139,13 @@
   constexpr double share = 0.95;
   UnitAdvice advice;
   advice.prefill = scaler_advise_phase({stable.missed + waiting_prompt, panic.missed + waiting_prompt,
-                                 options.prefill_tokens_per_s, standing.current.prefill, standing.ready.prefill,
-                                 latency_percentile(first_token, share), options.ttft_target_ms},
-                                history, options);
-  advice.decode = scaler_advise_phase({stable.generated + waiting_generation, panic.generated + waiting_generation,
-                                options.decode_tokens_per_s, standing.current.decode, standing.ready.decode,
-                                latency_percentile(inter_token, share), options.itl_target_ms},
-                               history, options);
+                                        options.prefill_tokens_per_s, standing.current.prefill, standing.ready.prefill,
+                                        latency_percentile(first_token, share), options.ttft_target_ms},
+                                       history, options);
+  advice.decode = scaler_advise_phase(
+      {stable.generated + waiting_generation, panic.generated + waiting_generation, options.decode_tokens_per_s,
+       standing.current.decode, standing.ready.decode, latency_percentile(inter_token, share), options.itl_target_ms},
+      history, options);
   if (standing.waiting > 0) {
     advice.prefill.wanted = std::max<std::int64_t>(advice.prefill.wanted, 1);
     advice.decode.wanted = std::max<std::int64_t>(advice.decode.wanted, 1);
@@ -158,8 +157,8 @@
                              const ModelOptions& model, const ScalerOptions& options, Moment now) {
   const PhaseVector wanted{std::clamp(advice.prefill.wanted, model.prefill.least, model.prefill.most),
                            std::clamp(advice.decode.wanted, model.decode.least, model.decode.most)};
-  const bool extra = !history.advice.empty() && static_cast<double>(now - history.advice.back().first) <
-                                                    options.interval_s * milliseconds / 2;
+  const bool extra = !history.advice.empty() &&
+                     static_cast<double>(now - history.advice.back().first) < options.interval_s * milliseconds / 2;
   if (extra) {
     auto& last = history.advice.back().second;
     last = {std::max(last.prefill, wanted.prefill), std::max(last.decode, wanted.decode)};
@@ -189,8 +188,8 @@
   for (auto first = prefill.least; first <= prefill.most; ++first)
     for (auto second = decode.least; second <= decode.most; ++second) {
       if (!band_holds(first, second, options)) continue;
-      const auto distance = (first - goal.prefill) * (first - goal.prefill) +
-                            (second - goal.decode) * (second - goal.decode);
+      const auto distance =
+          (first - goal.prefill) * (first - goal.prefill) + (second - goal.decode) * (second - goal.decode);
       const std::array<std::int64_t, 3> rank{distance, -(first + second), -second};
       if (best_rank && rank >= *best_rank) continue;
       best_rank = rank;
--- a/src/core/scaler.hpp
+++ b/src/core/scaler.hpp
@@ -10,7 +10,7 @@
 namespace weldsail {
 
 /// Upper bounds of the latency buckets in milliseconds; one more bucket is without bound.
-inline constexpr std::array<double, 20> latency_bounds = {5,   10,  20,  35,  50,  75,   100,  150,  200,  300,
+inline constexpr std::array<double, 20> latency_bounds = {5,   10,  20,  35,  50,   75,   100,  150,  200,  300,
                                                           400, 500, 600, 800, 1000, 1500, 2000, 3000, 5000, 10000};
 
 /// Latencies of some span, by bucket.
--- a/src/core/steward.hpp
+++ b/src/core/steward.hpp
@@ -49,7 +49,8 @@
 /// Drops all pipes when the duty is lost.
 void steward_end(StewardState& state, Effects& effects);
 /// Marks or unmarks something as drained with the next decision; the value to propose.
-wire::Placement steward_drain(const wire::Placement& committed, std::uint64_t term, const std::string& name, bool drained);
+wire::Placement steward_drain(const wire::Placement& committed, std::uint64_t term, const std::string& name,
+                              bool drained);
 
 /// Raises and lowers flags and vectors of one unit for a pass; true when growth was rolled back.
 bool steward_settle(StewardState& state, wire::UnitRecord& record, const PhaseVector& ready, bool gone,
--- a/src/core/take.cpp
+++ b/src/core/take.cpp
@@ -79,7 +79,8 @@
 }
 
 bool tenant_full(const DataState& state, const Pool& pool, std::size_t own) {
-  return own > tenant_share * (state.options.backlog_limit - std::min(state.options.backlog_limit, pool.waiting.size()));
+  return own >
+         tenant_share * (state.options.backlog_limit - std::min(state.options.backlog_limit, pool.waiting.size()));
 }
 
 }  // namespace
@@ -135,7 +136,8 @@
   const auto turns = turns_before(by_tenant, carry.tenant);
   const auto wait = hold_wait(state.hold, carry.pool, turns);
   const bool hopeless = !pool.waiting.empty() && wait && now + *wait > carry.ledger.hold_due;
-  const bool full = pool.waiting.size() >= state.options.backlog_limit || tenant_full(state, pool, by_tenant[carry.tenant]) ||
+  const bool full = pool.waiting.size() >= state.options.backlog_limit ||
+                    tenant_full(state, pool, by_tenant[carry.tenant]) ||
                     !hold_fits(state.hold, carry.pool, carry.tenant, carry.body.size());
   if (full || hopeless)
     return refuse(503, "overloaded", hold_retry(state.hold, carry.pool, turns, mix(state.random ^ carry.request)));
--- a/src/core/wanted.cpp
+++ b/src/core/wanted.cpp
@@ -18,8 +18,8 @@
       return status && (adapter ? status->adapters.contains(name) : status->models.contains(name));
     });
     return reported || std::ranges::any_of(state.ordered, [&](const auto& item) {
-      return std::ranges::any_of(item.second, [&](const OrderedLoad& load) { return load.name == name; });
-    });
+             return std::ranges::any_of(item.second, [&](const OrderedLoad& load) { return load.name == name; });
+           });
   }
 
   void want(const WorkerView& view, OrderKind kind, const std::string& name, const std::string& unit) {
--- a/src/core/worker.cpp
+++ b/src/core/worker.cpp
@@ -55,9 +55,9 @@
   status.draining = json_bool_at(document, "/draining");
   if (const auto* models = rapidjson::Pointer("/models").Get(document); models != nullptr && models->IsArray())
     for (const auto& item : models->GetArray())
-      status.models[json_string_at(item, "/name")] = {
-          json_string_at(item, "/state"), static_cast<std::int64_t>(json_count_at(item, "/weights_mb")),
-          json_count_at(item, "/running")};
+      status.models[json_string_at(item, "/name")] = {json_string_at(item, "/state"),
+                                                      static_cast<std::int64_t>(json_count_at(item, "/weights_mb")),
+                                                      json_count_at(item, "/running")};
   if (const auto* adapters = rapidjson::Pointer("/adapters").Get(document); adapters != nullptr && adapters->IsArray())
     for (const auto& item : adapters->GetArray())
       status.adapters[json_string_at(item, "/name")] = json_string_at(item, "/state");
@@ -107,7 +107,8 @@
   if (const auto* head = std::get_if<PipeHead>(&event))
     if (auto* view = find(head->pipe)) view->answer = head->status;
   if (const auto* bytes = std::get_if<PipeBytes>(&event))
-    if (auto* view = find(bytes->pipe); view != nullptr && view->body.size() <= status_limit) view->body += bytes->bytes;
+    if (auto* view = find(bytes->pipe); view != nullptr && view->body.size() <= status_limit)
+      view->body += bytes->bytes;
   if (const auto* ended = std::get_if<PipeEnded>(&event))
     if (auto* view = find(ended->pipe)) {
       if (!ended->sent && ended->reason != past_due_reason) view->refused = view->asked;
--- a/src/shell/disk.cpp
+++ b/src/shell/disk.cpp
@@ -13,7 +13,8 @@
   bool kept = false;
 };
 
-Disk::Disk(Loop& loop, const std::string& folder) : folder_(folder), to_thread_{-1, -1}, to_loop_{-1, -1}, loop_(loop) {}
+Disk::Disk(Loop& loop, const std::string& folder)
+    : folder_(folder), to_thread_{-1, -1}, to_loop_{-1, -1}, loop_(loop) {}
 
 Disk::~Disk() {
   if (!thread_.joinable()) return;
--- a/src/shell/diskfile.cpp
+++ b/src/shell/diskfile.cpp
@@ -132,10 +132,12 @@
     const bool marked = get_number(bytes, place) == frame_mark &&
                         checksum(bytes.data() + place, header_size - 4) == get_number(bytes, place + header_size - 4);
     const auto mark = get_number(bytes, place);
-    const bool newer = (mark & ((1U << mark_release) - 1)) == mark_family && mark >> mark_release > frame_mark >> mark_release &&
+    const bool newer = (mark & ((1U << mark_release) - 1)) == mark_family &&
+                       mark >> mark_release > frame_mark >> mark_release &&
                        checksum(bytes.data() + place, header_size - 4) == get_number(bytes, place + header_size - 4);
     if (newer) return make_error_code(Breakdown::disk_newer);
-    const bool last = !marked ? bytes.find_first_not_of('\0', place) == std::string::npos : left - header_size <= length;
+    const bool last =
+        !marked ? bytes.find_first_not_of('\0', place) == std::string::npos : left - header_size <= length;
     const bool whole = marked && left - header_size >= length &&
                        checksum(bytes.data() + place + header_size, length) == get_number(bytes, place + 8);
     if (!whole && last) break;
@@ -155,7 +157,8 @@
     apply(image_, live_size_, name, bytes);
   }
   const auto undo = [&] {
-    for (auto item = before.rbegin(); item != before.rend(); ++item) apply(image_, live_size_, item->first, item->second);
+    for (auto item = before.rbegin(); item != before.rend(); ++item)
+      apply(image_, live_size_, item->first, item->second);
     doubtful_ = true;
   };
   const auto frame = make_frame(records);
--- a/src/shell/frame.cpp
+++ b/src/shell/frame.cpp
@@ -19,7 +19,8 @@
   if (end == std::string_view::npos) return std::optional<Frame>();
   const auto place = head.find(length_name);
   std::size_t length = 0;
-  if (place > end || std::from_chars(head.data() + place + length_name.size(), head.data() + end, length).ec != std::errc() ||
+  if (place > end ||
+      std::from_chars(head.data() + place + length_name.size(), head.data() + end, length).ec != std::errc() ||
       length > frame_most)
     return broke_down(Breakdown::malformed);
   const auto begin = end + head_end.size();
--- a/src/shell/log.cpp
+++ b/src/shell/log.cpp
@@ -25,8 +25,8 @@
 }  // namespace
 
 void log_open(const std::string& path, const std::string& level) {
-  // Loaded, the library starts four threads for appenders of a kind that isn't used here; it can do with one. Ending its
-  // initializer would end them all, but waits for that.
+  // Loaded, the library starts four threads for appenders of a kind that isn't used here; it can do with one. Ending
+  // its initializer would end them all, but waits for that.
   static log4cplus::Initializer* const kept = new log4cplus::Initializer;
   if (kept != nullptr) log4cplus::setThreadPoolSize(1);
   log4cplus::SharedAppenderPtr appender;
--- a/src/shell/loop.cpp
+++ b/src/shell/loop.cpp
@@ -1,11 +1,11 @@
 #include "shell/loop.hpp"
 
-#include <csignal>
-#include <ctime>
-#include <random>
 #include <sys/signalfd.h>
 #include <sys/timerfd.h>
 #include <unistd.h>
+#include <csignal>
+#include <ctime>
+#include <random>
 
 namespace weldsail {
 namespace {
--- a/src/shell/messenger.cpp
+++ b/src/shell/messenger.cpp
@@ -68,13 +68,15 @@
   auto& slot = links_[address];
   if (slot) return slot.get();
   auto place = read_address(address);
-  auto* socket = place ? h2o_socket_connect(loop_.raw(), reinterpret_cast<sockaddr*>(&*place), sizeof(*place), on_connect)
-                       : nullptr;
+  auto* socket = place
+                     ? h2o_socket_connect(loop_.raw(), reinterpret_cast<sockaddr*>(&*place), sizeof(*place), on_connect)
+                     : nullptr;
   if (socket == nullptr) {
     links_.erase(address);
     return nullptr;
   }
-  setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_most, sizeof(unacknowledged_most));
+  setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_most,
+             sizeof(unacknowledged_most));
   slot = std::make_unique<Link>();
   slot->owner = this;
   slot->address = address;
--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -21,7 +21,11 @@
 
 template <typename State>
 Node<State>::Node(const Place& place, State state)
-    : place_(place), state_(std::move(state)), messenger_(loop_), callers_(loop_, place.limits), client_(loop_),
+    : place_(place),
+      state_(std::move(state)),
+      messenger_(loop_),
+      callers_(loop_, place.limits),
+      client_(loop_),
       interrupts_(loop_) {}
 
 template <typename State>
@@ -39,7 +43,8 @@
   if (const auto listening = callers_.listen(place_.callers); !listening) return listening.error();
   if (!place_.aside.empty())
     if (const auto listening = callers_.listen(place_.aside, aside_door); !listening) return listening.error();
-  messenger_.arrived.connect([this](wire::Envelope& envelope) { events_.push_back(MessageArrived{std::move(envelope)}); });
+  messenger_.arrived.connect(
+      [this](wire::Envelope& envelope) { events_.push_back(MessageArrived{std::move(envelope)}); });
   callers_.arrived.connect([this](const RequestArrived& request) { events_.push_back(request); });
   callers_.gone.connect([this](std::uint64_t request) { events_.push_back(RequestGone{request}); });
   client_.told.connect([this](const Event& event) { events_.push_back(event); });
--- a/src/shell/options.cpp
+++ b/src/shell/options.cpp
@@ -11,9 +11,8 @@
 namespace {
 
 bool given(const std::vector<std::string>& arguments, const std::string& flag) {
-  return std::ranges::any_of(arguments, [&](const std::string& argument) {
-    return argument == flag || argument.starts_with(flag + "=");
-  });
+  return std::ranges::any_of(
+      arguments, [&](const std::string& argument) { return argument == flag || argument.starts_with(flag + "="); });
 }
 
 }  // namespace
--- a/src/shell/server.cpp
+++ b/src/shell/server.cpp
@@ -129,7 +129,8 @@
     if (of_connection(header.name)) continue;
     const auto name = copy_of(&request->pool, header.name);
     const auto value = copy_of(&request->pool, header.value);
-    h2o_add_header_by_str(&request->pool, &request->res.headers, name.base, name.len, 1, nullptr, value.base, value.len);
+    h2o_add_header_by_str(&request->pool, &request->res.headers, name.base, name.len, 1, nullptr, value.base,
+                          value.len);
   }
   pending.started = true;
   // h2o sends a body in chunks only while the status is 200.
--- a/src/wsctl/command.cpp
+++ b/src/wsctl/command.cpp
@@ -77,7 +77,8 @@
   if (result.code == exit_unreachable && wanted->change && reply.sent) result.code = exit_unknown;
   result.trouble = trouble;
   if (!reply.whole) {
-    result.trouble += "wsctl: no whole answer: " + reply.reason + (reply.sent ? "; outcome unknown" : "; nothing was sent") + "\n";
+    result.trouble +=
+        "wsctl: no whole answer: " + reply.reason + (reply.sent ? "; outcome unknown" : "; nothing was sent") + "\n";
     return result;
   }
   result.text = wanted->exact && reply.status == 200 ? reply.body
--- a/src/wsctl/condition.cpp
+++ b/src/wsctl/condition.cpp
@@ -23,17 +23,17 @@
 
 bool matches(const rapidjson::Value& item, const rapidjson::Value& wanted) {
   return item.IsObject() && std::all_of(wanted.MemberBegin(), wanted.MemberEnd(), [&](const auto& member) {
-    const auto found = item.FindMember(member.name);
-    return found != item.MemberEnd() && found->value == member.value;
-  });
+           const auto found = item.FindMember(member.name);
+           return found != item.MemberEnd() && found->value == member.value;
+         });
 }
 
 bool every(const rapidjson::Value& list, const rapidjson::Value& condition) {
   static const rapidjson::Value any(rapidjson::kObjectType);
   const auto& where = condition.HasMember("where") ? condition["where"] : any;
   return list.IsArray() && std::all_of(list.Begin(), list.End(), [&](const rapidjson::Value& item) {
-    return !matches(item, where) || matches(item, condition["each"]);
-  });
+           return !matches(item, where) || matches(item, condition["each"]);
+         });
 }
 
 }  // namespace
@@ -64,7 +64,8 @@
   if (condition.HasMember("contains") && !holds(*found, condition["contains"])) return false;
   if (condition.HasMember("lacks") && holds(*found, condition["lacks"])) return false;
   if (condition.HasMember("each") && !every(*found, condition)) return false;
-  if (condition.HasMember("least") && (!found->IsNumber() || found->GetDouble() < condition["least"].GetDouble())) return false;
+  if (condition.HasMember("least") && (!found->IsNumber() || found->GetDouble() < condition["least"].GetDouble()))
+    return false;
   return true;
 }
 
--- a/src/wsctl/main.cpp
+++ b/src/wsctl/main.cpp
@@ -12,11 +12,13 @@
 
 constexpr const char* usage_text =
     "config get | config put FILE | config check FILE | config change FILE | config history |\n"
-    "  config move-tenant TENANT FROM-CELL TO-CELL [SERVICE=SERVICE ...] | config outcome CHANGE | core show | core replace OLD NEW | core add NEW | core remove OLD |\n"
+    "  config move-tenant TENANT FROM-CELL TO-CELL [SERVICE=SERVICE ...] | config outcome CHANGE | core show | core "
+    "replace OLD NEW | core add NEW | core remove OLD |\n"
     "  core recover CLUSTER DISK [accept-loss] |\n"
     "  runbook list | runbook show NAME | runbook run NAME |\n"
     "  members | workers | placements | holds | status | drain NAME | undrain NAME\n"
-    "  OLD and NEW are disks, by number or by the address of their process; NAME is worker:ADDRESS, node:ADDRESS or locality:NAME";
+    "  OLD and NEW are disks, by number or by the address of their process; NAME is worker:ADDRESS, node:ADDRESS or "
+    "locality:NAME";
 
 }  // namespace
 
@@ -39,7 +41,7 @@
     std::cerr << "wsctl: " << fault << "\n";
     return weldsail::exit_usage;
   }
-  const weldsail::CommandOptions options{node.getValue(), json.getValue(),   base.getValue(),
+  const weldsail::CommandOptions options{node.getValue(),   json.getValue(),   base.getValue(),
                                          change.getValue(), within.getValue(), words.getValue()};
   weldsail::RunbookOptions book{options, folder.getValue(), {}, dry.getValue(), yes.getValue(), from.getValue()};
   for (const auto& item : set.getValue()) {
--- a/src/wsctl/runbook.cpp
+++ b/src/wsctl/runbook.cpp
@@ -39,8 +39,10 @@
   const auto after = filled(before, inputs);
   const bool number = before.starts_with("{") && !after.empty() && after.size() < 16 &&
                       std::ranges::all_of(after, [](unsigned char letter) { return std::isdigit(letter) != 0; });
-  if (number) value.SetUint64(std::stoull(after));
-  else value.SetString(after.data(), static_cast<rapidjson::SizeType>(after.size()), owner.GetAllocator());
+  if (number)
+    value.SetUint64(std::stoull(after));
+  else
+    value.SetString(after.data(), static_cast<rapidjson::SizeType>(after.size()), owner.GetAllocator());
 }
 
 struct Runner {
@@ -81,7 +83,8 @@
     while (true) {
       auto result = command(step);
       if (result.code == exit_done && condition_met(step["wait"], result.text)) return result;
-      if (monotonic_now() >= end) return {exit_refused, result.text, "not within " + json_text(step["within_s"]) + " s"};
+      if (monotonic_now() >= end)
+        return {exit_refused, result.text, "not within " + json_text(step["within_s"]) + " s"};
       std::this_thread::sleep_for(std::chrono::milliseconds(wait_pause));
     }
   }
@@ -173,7 +176,8 @@
   const auto& words = options.command.words;
   const auto action = words.size() > 1 ? words[1] : std::string();
   if (action == "list") return list_books(options);
-  if ((action != "show" && action != "run") || words.size() != 3) return {exit_usage, {}, "wsctl: runbook list | show NAME | run NAME\n"};
+  if ((action != "show" && action != "run") || words.size() != 3)
+    return {exit_usage, {}, "wsctl: runbook list | show NAME | run NAME\n"};
   const auto path = std::filesystem::path(options.folder) / (words[2] + ".json");
   const auto bytes = read_book(path);
   if (bytes.empty()) return {exit_usage, {}, "wsctl: can't read " + path.string() + "\n"};
--- a/src/wsctl/runbookcheck.cpp
+++ b/src/wsctl/runbookcheck.cpp
@@ -8,8 +8,8 @@
 namespace weldsail {
 namespace {
 
-constexpr const char* step_words[] = {"name", "command", "node", "check", "wait", "within_s", "confirm",
-                                      "manual", "save", "into", "back"};
+constexpr const char* step_words[] = {"name",    "command", "node", "check", "wait", "within_s",
+                                      "confirm", "manual",  "save", "into",  "back"};
 constexpr double within_most_s = 3600;
 
 std::set<std::string> marks_of(const std::string& text) {
@@ -17,19 +17,24 @@
   for (std::size_t place = 0; (place = text.find("{", place)) != std::string::npos; ++place) {
     const auto end = text.find('}', place);
     const auto name = end == std::string::npos ? std::string() : text.substr(place + 1, end - place - 1);
-    const bool plain = !name.empty() && std::ranges::all_of(name, [](unsigned char letter) { return std::isalnum(letter) != 0 || letter == '_'; });
+    const bool plain = !name.empty() && std::ranges::all_of(name, [](unsigned char letter) {
+      return std::isalnum(letter) != 0 || letter == '_';
+    });
     if (plain) marks.insert(name);
   }
   return marks;
 }
 
-void check_command(const rapidjson::Value& step, const char* name, const std::string& place, std::vector<std::string>& faults) {
+void check_command(const rapidjson::Value& step, const char* name, const std::string& place,
+                   std::vector<std::string>& faults) {
   if (!step.HasMember(name)) return;
   const auto& list = step[name];
   const bool fits = list.IsArray() && !list.Empty() &&
                     std::all_of(list.Begin(), list.End(), [](const rapidjson::Value& item) { return item.IsString(); });
-  if (!fits) faults.push_back(place + ": " + name + " must be a list of words");
-  else if (const auto fault = command_fault(runbook_words(list)); !fault.empty()) faults.push_back(place + ": " + name + ": " + fault);
+  if (!fits)
+    faults.push_back(place + ": " + name + " must be a list of words");
+  else if (const auto fault = command_fault(runbook_words(list)); !fault.empty())
+    faults.push_back(place + ": " + name + ": " + fault);
 }
 
 std::vector<std::string> step_faults(const rapidjson::Value& step, const std::string& place) {
@@ -37,12 +42,14 @@
   if (!step.IsObject()) return {place + ": must be an object"};
   for (const auto& item : step.GetObject()) {
     const auto name = json_string(item.name);
-    if (std::ranges::find(step_words, name) == std::end(step_words)) faults.push_back(place + ": " + name + " is not known");
+    if (std::ranges::find(step_words, name) == std::end(step_words))
+      faults.push_back(place + ": " + name + " is not known");
   }
   if (json_string_at(step, "/name").empty()) faults.push_back(place + ": name is missing");
   check_command(step, "command", place, faults);
   check_command(step, "back", place, faults);
-  const bool asks = step.HasMember("check") || step.HasMember("wait") || step.HasMember("save") || step.HasMember("into");
+  const bool asks =
+      step.HasMember("check") || step.HasMember("wait") || step.HasMember("save") || step.HasMember("into");
   if (asks && !step.HasMember("command")) faults.push_back(place + ": command is missing");
   if (!step.HasMember("command") && !step.HasMember("confirm") && !step.HasMember("manual"))
     faults.push_back(place + ": says nothing to do");
--- a/src/wsctl/words.cpp
+++ b/src/wsctl/words.cpp
@@ -16,12 +16,16 @@
   std::size_t most;
 };
 
-constexpr Known known_commands[] = {
-    {"members", 1, 1},         {"workers", 1, 1},         {"placements", 1, 1},     {"holds", 1, 1},
-    {"status", 1, 1},          {"drain", 2, 2},           {"undrain", 2, 2},        {"config get", 2, 2},
-    {"config history", 2, 2},  {"config outcome", 3, 3},  {"config put", 3, 3},     {"config change", 3, 3},
-    {"config check", 3, 3},    {"config move-tenant", 5, 16}, {"core show", 2, 2},  {"core replace", 4, 4},
-    {"core add", 3, 3},        {"core remove", 3, 3},     {"core recover", 4, 5}};
+constexpr Known known_commands[] = {{"members", 1, 1},        {"workers", 1, 1},
+                                    {"placements", 1, 1},     {"holds", 1, 1},
+                                    {"status", 1, 1},         {"drain", 2, 2},
+                                    {"undrain", 2, 2},        {"config get", 2, 2},
+                                    {"config history", 2, 2}, {"config outcome", 3, 3},
+                                    {"config put", 3, 3},     {"config change", 3, 3},
+                                    {"config check", 3, 3},   {"config move-tenant", 5, 16},
+                                    {"core show", 2, 2},      {"core replace", 4, 4},
+                                    {"core add", 3, 3},       {"core remove", 3, 3},
+                                    {"core recover", 4, 5}};
 
 std::optional<std::string> read_file(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
@@ -40,9 +44,11 @@
   document.Parse<json_strict>(reply.body.data(), reply.body.size());
   const auto from = "/cells/" + pointer_step(words[3]) + "/tenants/" + pointer_step(words[2]);
   const auto to = "/cells/" + pointer_step(words[4]) + "/tenants/" + pointer_step(words[2]);
-  auto* tenant = reply.status != 200 || document.HasParseError() ? nullptr : rapidjson::Pointer(from.c_str()).Get(document);
+  auto* tenant =
+      reply.status != 200 || document.HasParseError() ? nullptr : rapidjson::Pointer(from.c_str()).Get(document);
   if (tenant == nullptr) {
-    trouble = reply.status == 200 ? "cell " + words[3] + " has no tenant " + words[2] : "the configuration can't be read";
+    trouble =
+        reply.status == 200 ? "cell " + words[3] + " has no tenant " + words[2] : "the configuration can't be read";
     return std::nullopt;
   }
   std::map<std::string, std::string> services;
@@ -53,7 +59,8 @@
   if (auto* routes = rapidjson::Pointer("/routes").Get(*tenant); routes != nullptr && routes->IsObject())
     for (auto& route : routes->GetObject()) {
       const auto found = services.find(json_string_at(route.value, "/service"));
-      if (found != services.end()) rapidjson::Pointer("/service").Set(route.value, found->second.c_str(), document.GetAllocator());
+      if (found != services.end())
+        rapidjson::Pointer("/service").Set(route.value, found->second.c_str(), document.GetAllocator());
     }
   JsonText body;
   body.object().key("set").object().key(to.c_str());
--- a/src/wsdp/main.cpp
+++ b/src/wsdp/main.cpp
@@ -35,9 +35,11 @@
   weldsail::CommonFlags flags(line);
   TCLAP::ValueArg<std::size_t> backlog("", "backlog", "held requests for each model", false, 256, "count", line);
   TCLAP::ValueArg<std::size_t> body_limit("", "body-limit", "largest request body", false, 1U << 20U, "bytes", line);
-  TCLAP::ValueArg<std::size_t> held("", "held-bytes", "most bytes of requests in hand", false, 64U << 20U, "bytes", line);
+  TCLAP::ValueArg<std::size_t> held("", "held-bytes", "most bytes of requests in hand", false, 64U << 20U, "bytes",
+                                    line);
   TCLAP::ValueArg<std::size_t> pipes("", "pipes", "most open pipes of callers", false, 4096, "count", line);
-  TCLAP::ValueArg<std::int64_t> idle("", "idle-ms", "longest time without a request on a pipe", false, 60000, "ms", line);
+  TCLAP::ValueArg<std::int64_t> idle("", "idle-ms", "longest time without a request on a pipe", false, 60000, "ms",
+                                     line);
   TCLAP::ValueArg<std::int64_t> transfer("", "transfer-ms", "longest time for a request to come in whole", false, 30000,
                                          "ms", line);
   TCLAP::ValueArg<std::int64_t> hold("", "hold-ms", "longest hold while a model comes up", false, 60000, "ms", line);
--- a/test/sim/callers.cpp
+++ b/test/sim/callers.cpp
@@ -80,11 +80,12 @@
   std::vector<Header> headers{{"weldsail-request", call.caller}, {"weldsail-due", std::to_string(call.due)}};
   if (!call.key.empty()) headers.push_back({"idempotency-key", call.key});
   calls_.push_back(std::move(call));
-  const auto request = fleet_.world.ask(node, {0, "POST", "/v1/tenants/" + tenant + "/routes/" + route, std::move(headers), std::move(body)},
-                   [this, place](const Told& told) {
-                     calls_[place].answered = true;
-                     calls_[place].told = told;
-                   });
+  const auto request = fleet_.world.ask(
+      node, {0, "POST", "/v1/tenants/" + tenant + "/routes/" + route, std::move(headers), std::move(body)},
+      [this, place](const Told& told) {
+        calls_[place].answered = true;
+        calls_[place].told = told;
+      });
   if (leaving > 0 && request != 0 && fleet_.world.chance.happens(leaving)) leave_some(node, place, request);
 }
 
@@ -181,7 +182,8 @@
     const auto count = found == runs.end() ? 0 : found->second.size();
     const auto outcome = outcome_of(call);
     if (!call.key.empty()) by_key[call.key] += count;
-    if (call.kind != "resumable" && count > 1) faults.push_back(call.caller + " ran " + std::to_string(count) + " times");
+    if (call.kind != "resumable" && count > 1)
+      faults.push_back(call.caller + " ran " + std::to_string(count) + " times");
     if (outcome == CallOutcome::not_run && count > 0) faults.push_back(call.caller + " told not_run but ran");
     if (call.kind == "call" && outcome == CallOutcome::whole &&
         call.told.body.find("\"granted\":\"" + call.caller + "\"") == std::string::npos && call.key.empty())
@@ -197,7 +199,8 @@
     const auto limit = std::max(call.asked, fleet_.world.node(call.node).woken) + call.due + 1000;
     const bool late = call.answered && !call.left && call.told.at > limit;
     if (late && call.told.status != 0) faults.push_back(call.caller + " answered after its due time");
-    if (!call.answered && !call.left && fleet_.world.now() > call.asked + call.due + 5000 && fleet_.world.node(call.node).alive)
+    if (!call.answered && !call.left && fleet_.world.now() > call.asked + call.due + 5000 &&
+        fleet_.world.node(call.node).alive)
       faults.push_back(call.caller + " never answered");
   }
   for (const auto& [key, count] : by_key)
--- a/test/sim/capacity.cpp
+++ b/test/sim/capacity.cpp
@@ -31,10 +31,10 @@
 }
 
 std::string kind_of(const wire::Envelope& envelope) {
-  static constexpr const char* names[] = {
-      "ping", "prepare", "promise", "accept", "accepted", "check", "checked", "form", "news_ask", "news",
-      "operate", "operated", "counter_ask", "counter_report", "claim", "claimed", "copy_ask", "copy_answer",
-      "fleet", "fleet_ask"};
+  static constexpr const char* names[] = {"ping",    "prepare",  "promise",     "accept",         "accepted",
+                                          "check",   "checked",  "form",        "news_ask",       "news",
+                                          "operate", "operated", "counter_ask", "counter_report", "claim",
+                                          "claimed", "copy_ask", "copy_answer", "fleet",          "fleet_ask"};
   const auto place = static_cast<std::size_t>(envelope.body_case()) - wire::Envelope::kPing;
   return place < std::size(names) ? names[place] : "other";
 }
--- a/test/sim/dayscenario.cpp
+++ b/test/sim/dayscenario.cpp
@@ -87,11 +87,14 @@
   result.faults = operators.faults();
   for (auto& fault : callers.faults()) result.faults.push_back(std::move(fault));
   for (auto& fault : back_faults(fleet)) result.faults.push_back(std::move(fault));
-  if (!last || last->version < operators.newest_seen()) result.faults.emplace_back("the newest accepted doesn't read back");
+  if (!last || last->version < operators.newest_seen())
+    result.faults.emplace_back("the newest accepted doesn't read back");
   const auto calm = callers.whole_share(begin + 15000, trouble_begin);
-  if (after < std::min(0.97, calm - share_slack)) result.faults.push_back("only " + std::to_string(after) + " served 12 s after the trouble");
+  if (after < std::min(0.97, calm - share_slack))
+    result.faults.push_back("only " + std::to_string(after) + " served 12 s after the trouble");
   double orders = 0;
-  for (const auto& worker : fleet.backs->addresses()) orders += static_cast<double>(fleet.backs->model(worker).orders().size());
+  for (const auto& worker : fleet.backs->addresses())
+    orders += static_cast<double>(fleet.backs->model(worker).orders().size());
   result.figures = {{"orders", orders},
                     {"asked", static_cast<double>(callers.calls().size())},
                     {"whole", static_cast<double>(callers.count(CallOutcome::whole))},
--- a/test/sim/daytrouble.hpp
+++ b/test/sim/daytrouble.hpp
@@ -130,7 +130,8 @@
       if (!node.alive) world.start(address);
     }
     for (const auto& worker : workers)
-      for (const auto* action : {"revive", "wake", "undrain", "obey_unload", "service:"}) fleet.backs->control(worker, action);
+      for (const auto* action : {"revive", "wake", "undrain", "obey_unload", "service:"})
+        fleet.backs->control(worker, action);
   }
   /// Shortly before the end: the last thing that was accepted must outlive it.
   void closing_fault(std::uint64_t kind) {
--- a/test/sim/fleet.cpp
+++ b/test/sim/fleet.cpp
@@ -63,7 +63,12 @@
   }
   for (std::size_t place = 0; place < more_routes; ++place)
     text.key(("more" + std::to_string(place)).c_str()).object().field("kind", "stream").field("model", "m1").close();
-  text.key("seat").object().field("kind", "call").field("service", service_name(true, cell)).number("due_ms", 5000).close();
+  text.key("seat")
+      .object()
+      .field("kind", "call")
+      .field("service", service_name(true, cell))
+      .number("due_ms", 5000)
+      .close();
   text.close();
 }
 
@@ -125,7 +130,10 @@
   text.key("idle_evict_s").out().Double(5);
   text.close().key("models").object();
   for (std::size_t place = 0; place < plan.models; ++place)
-    text.key(("m" + std::to_string(place + 1)).c_str()).object().number("weights_mb", 10 + (heavier && place < 3 ? 4 : 0)).close();
+    text.key(("m" + std::to_string(place + 1)).c_str())
+        .object()
+        .number("weights_mb", 10 + (heavier && place < 3 ? 4 : 0))
+        .close();
   text.close().key("adapters").object();
   for (std::size_t place = 0; place < plan.adapters; ++place) {
     const auto name = std::to_string(place + 1);
--- a/test/sim/forcescenario.cpp
+++ b/test/sim/forcescenario.cpp
@@ -67,7 +67,8 @@
   result.faults = operators.late(in_force_within, busy_begin);
   for (auto& fault : callers.faults()) result.faults.push_back(std::move(fault));
   const auto last = operators.read_back(15000);
-  if (!last || last->version < operators.newest_seen()) result.faults.emplace_back("the newest accepted doesn't read back");
+  if (!last || last->version < operators.newest_seen())
+    result.faults.emplace_back("the newest accepted doesn't read back");
   result.figures = {{"accepted", static_cast<double>(operators.accepted())}};
   return result;
 }
--- a/test/sim/hardscenario.cpp
+++ b/test/sim/hardscenario.cpp
@@ -21,7 +21,9 @@
   Fleet& fleet;
   Callers& callers;
 
-  const std::string& any(const std::vector<std::string>& names) { return names[fleet.world.chance.below(names.size())]; }
+  const std::string& any(const std::vector<std::string>& names) {
+    return names[fleet.world.chance.below(names.size())];
+  }
   void kill(const std::string& node, Moment back_after) {
     auto& world = fleet.world;
     world.kill(node);
@@ -49,8 +51,10 @@
     for (const auto& address : lost) {
       if (fleet.world.nodes().contains(address)) callers.avoided.insert(address);
       if (cut) continue;
-      if (fleet.world.nodes().contains(address)) kill(address, 0);
-      else fleet.backs->control(address, "kill");
+      if (fleet.world.nodes().contains(address))
+        kill(address, 0);
+      else
+        fleet.backs->control(address, "kill");
     }
     if (cut) fleet.world.cut(left, right);
   }
@@ -111,7 +115,8 @@
     for (const auto& address : fleet.backs->addresses()) {
       const auto& model = fleet.backs->model(address);
       if ((model.plan().phase == "call") != call) continue;
-      tried += static_cast<double>(std::ranges::count_if(model.asks(), [&](Moment when) { return when >= from && when < until; }));
+      tried += static_cast<double>(
+          std::ranges::count_if(model.asks(), [&](Moment when) { return when >= from && when < until; }));
     }
     worst = std::max(worst, asked == 0 ? 0 : tried / asked);
     if (tried > asked * (1 + share) + saved)
@@ -151,8 +156,8 @@
     const auto calm = callers.whole_share(calm_from, fault_at - 3000, kind);
     const auto after = callers.whole_share(fault_at + back_within, end, kind);
     if (after < calm - share_slack)
-      result.faults.push_back("kind " + std::to_string(seed % kinds) + ": " + kind + " served " + std::to_string(after) + " of " +
-                              std::to_string(calm) + " 12 s after");
+      result.faults.push_back("kind " + std::to_string(seed % kinds) + ": " + kind + " served " +
+                              std::to_string(after) + " of " + std::to_string(calm) + " 12 s after");
     result.figures.emplace_back("calm_" + kind, calm);
     result.figures.emplace_back("after_" + kind, after);
   }
--- a/test/sim/operators.cpp
+++ b/test/sim/operators.cpp
@@ -98,7 +98,8 @@
     if (change.outcome != "accepted" || change.answered < from) continue;
     for (const auto& address : fleet_.datas) {
       const auto node = in_force_at_.find(address);
-      const auto found = node == in_force_at_.end() ? std::map<std::uint64_t, Moment>::const_iterator{} : node->second.find(change.version);
+      const auto found = node == in_force_at_.end() ? std::map<std::uint64_t, Moment>::const_iterator{}
+                                                    : node->second.find(change.version);
       const bool seen = node != in_force_at_.end() && found != node->second.end();
       if (seen && found->second - change.answered <= within) continue;
       faults.push_back(address + " had version " + std::to_string(change.version) + " in force " +
--- a/test/sim/placingfleet.cpp
+++ b/test/sim/placingfleet.cpp
@@ -110,7 +110,8 @@
   due_rare_ += asks_.rare_per_s * part * (0.5 + static_cast<double>(world.chance.below(1000)) / 1000);
   const auto turn = static_cast<std::size_t>(world.now() / asks_.shift) * asks_.busy_at_once;
   for (; due_busy_ >= 1; due_busy_ -= 1) {
-    const auto which = (turn + (world.chance.happens(0.7) ? 0 : 1 + world.chance.below(asks_.busy_at_once - 1))) % workers_.busy_models;
+    const auto which = (turn + (world.chance.happens(0.7) ? 0 : 1 + world.chance.below(asks_.busy_at_once - 1))) %
+                       workers_.busy_models;
     AskedModel item{model_name(which), "", world.now(), 0, 0, false};
     if (workers_.adapters > 0 && world.chance.happens(asks_.adapter_share))
       item.adapter = "a" + std::to_string(1 + world.chance.below(workers_.adapters));
@@ -120,7 +121,8 @@
   for (; due_rare_ >= 1; due_rare_ -= 1) {
     const auto rare = workers_.models - workers_.busy_models;
     const auto share = static_cast<double>(world.chance.below(1000000)) / 1000000;
-    const auto which = workers_.busy_models + static_cast<std::size_t>(static_cast<double>(rare) * std::pow(share, 1.3));
+    const auto which =
+        workers_.busy_models + static_cast<std::size_t>(static_cast<double>(rare) * std::pow(share, 1.3));
     open_.push_back(asked.size());
     asked.push_back({model_name(which), "", world.now(), 0, 0, false});
   }
--- a/test/sim/placingscenario.cpp
+++ b/test/sim/placingscenario.cpp
@@ -37,12 +37,8 @@
         world.wake(holder);
       });
       return;
-    case 2:
-      world.cut({holder}, others);
-      break;
-    case 3:
-      world.cut_one_way({holder}, others);
-      break;
+    case 2: world.cut({holder}, others); break;
+    case 3: world.cut_one_way({holder}, others); break;
     case 4:
       world.leave(holder);
       world.at(world.now() + lasts, [&world, holder] {
@@ -119,8 +115,10 @@
     if (counts.second == 0) ++starved;
   }
   if (starved > 1 + often / 10) result.faults.push_back("starved models: " + std::to_string(starved));
-  if (after.share() < late_share) result.faults.push_back("rare models late after all trouble: " + std::to_string(after.share()));
-  if (fleet.misdirected * 50 > fleet.asked.size()) result.faults.push_back("misdirected: " + std::to_string(fleet.misdirected));
+  if (after.share() < late_share)
+    result.faults.push_back("rare models late after all trouble: " + std::to_string(after.share()));
+  if (fleet.misdirected * 50 > fleet.asked.size())
+    result.faults.push_back("misdirected: " + std::to_string(fleet.misdirected));
   result.figures = {{"busy", busy.share()},
                     {"rare", rare.share()},
                     {"after", after.share()},
--- a/test/sim/replacescenario.cpp
+++ b/test/sim/replacescenario.cpp
@@ -37,7 +37,8 @@
   callers.work_until(end, 120);
   const auto ask_old_keys = [&callers, &fleet](bool repeat) {
     for (int turn = 0; turn < 20; ++turn)
-      callers.ask_call(fleet.datas[static_cast<std::size_t>(turn) % fleet.datas.size()], "old" + std::to_string(turn), repeat);
+      callers.ask_call(fleet.datas[static_cast<std::size_t>(turn) % fleet.datas.size()], "old" + std::to_string(turn),
+                       repeat);
   };
   ask_old_keys(false);
   const std::vector<std::string> first = fleet.controls;
@@ -65,7 +66,8 @@
   for (auto& fault : operators.faults()) result.faults.push_back(std::move(fault));
   for (auto& fault : callers.faults()) result.faults.push_back(std::move(fault));
   for (auto& fault : back_faults(fleet)) result.faults.push_back(std::move(fault));
-  if (!last || last->version < operators.newest_seen()) result.faults.emplace_back("the newest accepted doesn't read back");
+  if (!last || last->version < operators.newest_seen())
+    result.faults.emplace_back("the newest accepted doesn't read back");
   result.figures = {{"accepted", static_cast<double>(operators.accepted())},
                     {"whole_share", callers.whole_share(begin, end)}};
   return result;
--- a/test/sim/rolloutscenario.cpp
+++ b/test/sim/rolloutscenario.cpp
@@ -12,8 +12,10 @@
 
 void roll(Fleet& fleet, const std::string& address, bool former) {
   auto& world = fleet.world;
-  if (world.chance.happens(0.7)) world.leave(address);
-  else world.kill(address);
+  if (world.chance.happens(0.7))
+    world.leave(address);
+  else
+    world.kill(address);
   world.at(world.now() + 4000, [&world, address, former] {
     world.kill(address);
     world.node(address).former = former;
@@ -55,7 +57,8 @@
   for (auto& fault : back_faults(fleet)) result.faults.push_back(std::move(fault));
   for (auto& fault : operators.faults()) result.faults.push_back(std::move(fault));
   const auto last = operators.read_back(15000);
-  if (!last || last->version < operators.newest_seen()) result.faults.emplace_back("the newest accepted doesn't read back");
+  if (!last || last->version < operators.newest_seen())
+    result.faults.emplace_back("the newest accepted doesn't read back");
   const auto share = callers.whole_share(begin, end);
   if (share < 0.9) result.faults.push_back("only " + std::to_string(share) + " served through the roll-out");
   result.figures = {{"accepted", static_cast<double>(operators.accepted())}, {"whole_share", share}};
--- a/test/sim/simback.cpp
+++ b/test/sim/simback.cpp
@@ -112,7 +112,8 @@
   JsonText text;
   text.object().key("workers").array();
   for (const auto& [address, worker] : workers_)
-    if (!worker.model.dead()) text.object().field("address", address).field("service", worker.model.plan().service).close();
+    if (!worker.model.dead())
+      text.object().field("address", address).field("service", worker.model.plan().service).close();
   text.end().close();
   return text.text();
 }
--- a/test/sim/simlist.cpp
+++ b/test/sim/simlist.cpp
@@ -15,7 +15,8 @@
   for (const auto& [model, adapters] : worker.held) {
     std::string names;
     for (const auto& adapter : adapters) names += (names.empty() ? "" : ",") + quoted(adapter);
-    text += (text.empty() ? "" : ",") + (R"({"label":)" + quoted(model)) + R"(,"revision":1,"adapters":[)" + names + "]}";
+    text +=
+        (text.empty() ? "" : ",") + (R"({"label":)" + quoted(model)) + R"(,"revision":1,"adapters":[)" + names + "]}";
   }
   return text;
 }
@@ -47,7 +48,8 @@
     text += (text.empty() ? "" : ",") + shown_[place];
   const bool more = first + page_size < shown_.size();
   answer(node, life, pipe.pipe, 200,
-         R"({"units":[)" + text + R"(],"next_token":)" + (more ? quoted(std::to_string(first + page_size)) : "null") + "}");
+         R"({"units":[)" + text + R"(],"next_token":)" + (more ? quoted(std::to_string(first + page_size)) : "null") +
+             "}");
 }
 
 void StandIns::answer(const std::string& node, std::uint64_t life, std::uint64_t pipe, int status, std::string body) {
--- a/test/sim/simworkers.cpp
+++ b/test/sim/simworkers.cpp
@@ -215,7 +215,8 @@
   text += worker.order ? "true" : "false";
   text += R"(,"sequence":)" + std::to_string(worker.sequence) + R"(,"queued":0,"active":0})";
   worker.reports.emplace_back(world_.now(), text);
-  while (worker.reports.size() > 2 && worker.reports[1].first <= world_.now() - plan_.report_lag) worker.reports.pop_front();
+  while (worker.reports.size() > 2 && worker.reports[1].first <= world_.now() - plan_.report_lag)
+    worker.reports.pop_front();
 }
 
 void StandIns::check_turns(StandInWorker& worker, const std::string& node, const std::string& holder,
@@ -233,7 +234,8 @@
 void StandIns::check_ceiling() {
   while (!begun_.empty() && begun_.front() <= world_.now() - ceiling_window) begun_.pop_front();
   const auto most = plan_.loads_per_s * (ceiling_window / 1000.0) * ceiling_overshoot + 3;
-  if (static_cast<double>(begun_.size()) > most) faults.push_back("CEILING: " + std::to_string(begun_.size()) + " loads begin");
+  if (static_cast<double>(begun_.size()) > most)
+    faults.push_back("CEILING: " + std::to_string(begun_.size()) + " loads begin");
 }
 
 }  // namespace weldsail::sim
--- a/test/sim/takeoverscenario.cpp
+++ b/test/sim/takeoverscenario.cpp
@@ -41,7 +41,8 @@
   void watch() {
     for (const auto& worker : fleet.backs->addresses()) {
       auto& back_end = fleet.world.back_ends[worker];
-      back_end.open = [this, worker, inner = back_end.open](const std::string& node, std::uint64_t life, const OpenPipe& pipe) {
+      back_end.open = [this, worker, inner = back_end.open](const std::string& node, std::uint64_t life,
+                                                            const OpenPipe& pipe) {
         if (pipe.path.ends_with("/load")) catch_load(worker, node);
         inner(node, life, pipe);
       };
--- a/test/sim/world.cpp
+++ b/test/sim/world.cpp
@@ -84,7 +84,8 @@
 
 bool World::blocked(const std::string& from, const std::string& to) const {
   for (const auto& cut : cuts_)
-    if ((cut.from.contains(from) && cut.to.contains(to)) || (cut.both && cut.from.contains(to) && cut.to.contains(from)))
+    if ((cut.from.contains(from) && cut.to.contains(to)) ||
+        (cut.both && cut.from.contains(to) && cut.to.contains(from)))
       return true;
   return false;
 }
@@ -182,25 +183,29 @@
   if (const auto* item = std::get_if<CancelPipe>(&effect))
     for (auto& [address, back_end] : back_ends) back_end.cancel(node.address, item->pipe);
   if (const auto* item = std::get_if<Answer>(&effect))
-    tell(node, item->request,
-         [&](Told& told) {
-           told.status = item->status;
-           told.headers = item->headers;
-           told.body = item->body;
-           told.whole = true;
-         },
-         true);
+    tell(
+        node, item->request,
+        [&](Told& told) {
+          told.status = item->status;
+          told.headers = item->headers;
+          told.body = item->body;
+          told.whole = true;
+        },
+        true);
   if (const auto* item = std::get_if<AnswerHead>(&effect))
-    tell(node, item->request,
-         [&](Told& told) {
-           told.status = item->status;
-           told.headers = item->headers;
-         },
-         false);
+    tell(
+        node, item->request,
+        [&](Told& told) {
+          told.status = item->status;
+          told.headers = item->headers;
+        },
+        false);
   if (const auto* item = std::get_if<AnswerBytes>(&effect))
-    tell(node, item->request, [&](Told& told) { told.body += item->bytes; }, false);
+    tell(
+        node, item->request, [&](Told& told) { told.body += item->bytes; }, false);
   if (const auto* item = std::get_if<AnswerEnd>(&effect))
-    tell(node, item->request, [&](Told& told) { told.whole = item->whole; }, true);
+    tell(
+        node, item->request, [&](Told& told) { told.whole = item->whole; }, true);
   if (std::holds_alternative<Depart>(effect)) {
     const auto address = node.address;
     at(now_, [this, address] { kill(address); });
--- a/test/sim/worldio.cpp
+++ b/test/sim/worldio.cpp
@@ -53,7 +53,9 @@
     const auto back_end = back_ends.find(effect.address);
     if (back_end != back_ends.end()) back_end->second.open(address, life, effect);
   });
-  at(due, [this, address, life, pipe = effect.pipe] { give(address, life, PipeEnded{pipe, false, true, past_due_reason}); });
+  at(due, [this, address, life, pipe = effect.pipe] {
+    give(address, life, PipeEnded{pipe, false, true, past_due_reason});
+  });
 }
 
 void World::persist(SimNode& node, const Persist& effect) {
--- a/test/tools/back.cpp
+++ b/test/tools/back.cpp
@@ -63,7 +63,10 @@
   text.object().key("workers").array();
   for (const auto& worker : workers_)
     if (!worker->model().dead())
-      text.object().field("address", worker->model().plan().address).field("service", worker->model().plan().service).close();
+      text.object()
+          .field("address", worker->model().plan().address)
+          .field("service", worker->model().plan().service)
+          .close();
   text.end().close();
   return text.text();
 }
@@ -110,14 +113,26 @@
   for (const auto pull : store_.pulls) text.out().Int64(pull);
   text.end().key("workers").array();
   for (const auto& worker : workers_) {
-    text.object().field("address", worker->model().plan().address).number("breaches", worker->model().breaches()).key("runs").array();
+    text.object()
+        .field("address", worker->model().plan().address)
+        .number("breaches", worker->model().breaches())
+        .key("runs")
+        .array();
     for (const auto& run : worker->model().runs())
-      text.object().field("run", run.run).number("from", run.from).number("pieces", run.pieces)
-          .truth("finished", run.finished).close();
+      text.object()
+          .field("run", run.run)
+          .number("from", run.from)
+          .number("pieces", run.pieces)
+          .truth("finished", run.finished)
+          .close();
     text.end().key("orders").array();
     for (const auto& order : worker->model().orders())
-      text.object().number("when", static_cast<std::uint64_t>(order.when)).number("epoch", order.epoch)
-          .field("path", order.path).field("name", order.name).number("answer", static_cast<std::uint64_t>(order.answer))
+      text.object()
+          .number("when", static_cast<std::uint64_t>(order.when))
+          .number("epoch", order.epoch)
+          .field("path", order.path)
+          .field("name", order.name)
+          .number("answer", static_cast<std::uint64_t>(order.answer))
           .close();
     text.end().close();
   }
--- a/test/tools/backmodel.cpp
+++ b/test/tools/backmodel.cpp
@@ -58,7 +58,8 @@
 void BackModel::refuse(std::uint64_t request, int status, const std::string& code) {
   JsonText text;
   text.object().field("code", code).close();
-  effects_.push_back(Answer{request, status, {{"content-type", "application/json"}, {"weldsail-not-run", "1"}}, text.text()});
+  effects_.push_back(
+      Answer{request, status, {{"content-type", "application/json"}, {"weldsail-not-run", "1"}}, text.text()});
 }
 
 void BackModel::take(const RequestArrived& request, Moment arrived, Moment now) {
@@ -83,7 +84,8 @@
 void BackModel::take_run(const RequestArrived& request, Moment now) {
   const auto number = request.request;
   if (draining_ && now - drained_at_ > late_after) ++late_asks_;
-  if (header_value(request.headers, "weldsail-service") != plan_.service && now - taken_over_at_ > late_after) ++late_asks_;
+  if (header_value(request.headers, "weldsail-service") != plan_.service && now - taken_over_at_ > late_after)
+    ++late_asks_;
   if (header_value(request.headers, "weldsail-instance") != plan_.instance ||
       header_value(request.headers, "weldsail-service") != plan_.service)
     return refuse(number, 409, "of_another_worker");
@@ -107,8 +109,9 @@
   const auto resume = header_value(request.headers, "weldsail-resume");
   const auto from = resume.empty() ? 0 : std::stoull(resume);
   runs_.push_back({run, caller, plan_.service, model, now, from, from, false, draining_});
-  Active active{runs_.size() - 1, from, static_cast<std::uint64_t>(json_number_at(body, "/max_tokens", 16)), 0, model,
-                false, true, json_string_at(body, "/prompt").size() / bytes_per_token};
+  const auto until = static_cast<std::uint64_t>(json_number_at(body, "/max_tokens", 16));
+  const auto tokens = json_string_at(body, "/prompt").size() / bytes_per_token;
+  Active active{runs_.size() - 1, from, until, 0, model, false, true, tokens};
   active_[number] = active;
   effects_.push_back(AnswerHead{number, 200, {{"content-type", "text/event-stream"}}});
 }
@@ -133,8 +136,8 @@
   effects_.push_back(Answer{request.request, status, {{"content-type", "application/json"}}, "{}"});
 }
 
-int BackModel::obey(const std::string& path, const std::string& name, const std::string& model,
-                    std::int64_t weights, Moment now) {
+int BackModel::obey(const std::string& path, const std::string& name, const std::string& model, std::int64_t weights,
+                    Moment now) {
   if (path == "/v1/models/load") {
     std::int64_t taken = weights;
     for (const auto& [held, state] : models_) taken += state.first;
@@ -177,7 +180,10 @@
   }
   while (active.next < active.until && now >= active.at) {
     JsonText text;
-    text.object().field("run", record.run).number("piece", active.next).field("text", record.caller + ":" + std::to_string(active.next));
+    text.object()
+        .field("run", record.run)
+        .number("piece", active.next)
+        .field("text", record.caller + ":" + std::to_string(active.next));
     text.close();
     effects_.push_back(AnswerBytes{request, "data: " + text.text() + "\n\n"});
     record.pieces = ++active.next;
@@ -207,7 +213,8 @@
       if (running >= plan_.slots) continue;
       ++running;
       active.queued = false;
-      active.at = now + static_cast<Moment>(static_cast<double>(active.prompt_tokens) / plan_.prefill_tokens_per_s * 1000);
+      active.at =
+          now + static_cast<Moment>(static_cast<double>(active.prompt_tokens) / plan_.prefill_tokens_per_s * 1000);
     }
     advance(request, active, now);
     if (active.at < 0) active_.erase(request);
--- a/test/tools/load.cpp
+++ b/test/tools/load.cpp
@@ -61,8 +61,14 @@
 }
 
 void Load::send(std::uint64_t pipe, const Open& open, Moment now) {
-  client_.open({pipe, plan_.nodes[random_() % plan_.nodes.size()], "POST", open.path,
-                {{"content-type", "application/json"}}, open.asked, false, now + longest_answer});
+  client_.open({pipe,
+                plan_.nodes[random_() % plan_.nodes.size()],
+                "POST",
+                open.path,
+                {{"content-type", "application/json"}},
+                open.asked,
+                false,
+                now + longest_answer});
 }
 
 void Load::take(const Event& event) {
--- a/test/tools/realfleet.cpp
+++ b/test/tools/realfleet.cpp
@@ -1,11 +1,11 @@
 #include "tools/realfleet.hpp"
 
 #include <arpa/inet.h>
-#include <csignal>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <csignal>
 
 #include <filesystem>
 #include <set>
@@ -74,16 +74,27 @@
     datas.push_back(std::move(child));
   }
   const auto common = [&](Child& child, const std::string& program, std::size_t place) {
-    child.arguments = {binaries_ + "/" + program, "--peers", child.peers, "--callers", child.callers, "--locality",
-                       locality_of(place, plan_), "--seeds", seeds, "--bound-ms", std::to_string(plan_.bound),
-                       "--log-file", folder_ + "/" + child.name + ".log"};
+    child.arguments = {binaries_ + "/" + program,
+                       "--peers",
+                       child.peers,
+                       "--callers",
+                       child.callers,
+                       "--locality",
+                       locality_of(place, plan_),
+                       "--seeds",
+                       seeds,
+                       "--bound-ms",
+                       std::to_string(plan_.bound),
+                       "--log-file",
+                       folder_ + "/" + child.name + ".log"};
   };
   for (std::size_t place = 0; place < controls.size(); ++place) {
     auto& child = controls[place];
     common(child, "wscp", place);
-    for (const auto& argument : {std::string("--folder"), child.folder, std::string("--core-size"),
-                                 std::to_string(plan_.control), std::string("--platform"), plan_.platform.empty() ? back_->platform_address() : plan_.platform,
-                                 std::string("--platform-pace-ms"), std::string("1500")})
+    for (const auto& argument :
+         {std::string("--folder"), child.folder, std::string("--core-size"), std::to_string(plan_.control),
+          std::string("--platform"), plan_.platform.empty() ? back_->platform_address() : plan_.platform,
+          std::string("--platform-pace-ms"), std::string("1500")})
       child.arguments.push_back(argument);
     start_child(child);
   }
--- a/test/unit/clientpipes.cpp
+++ b/test/unit/clientpipes.cpp
@@ -137,7 +137,9 @@
   SECTION("bytes after the chunks") {
     work.answered("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n" + good);
   }
-  SECTION("the worker says so") { work.answered("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok"); }
+  SECTION("the worker says so") {
+    work.answered("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok");
+  }
   CHECK(work.reply.whole);
   const auto before = work.pipes.size();
   work.open();
@@ -172,8 +174,9 @@
   Work work;
   const std::string chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
   for (const std::string& text :
-       {chunked + "2\r\nok\r\n", chunked + "2\r\no", chunked, std::string("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nok"),
-        std::string("HTTP/1.1 200 OK\r\n\r\nok"), std::string("HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nok")}) {
+       {chunked + "2\r\nok\r\n", chunked + "2\r\no", chunked,
+        std::string("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nok"), std::string("HTTP/1.1 200 OK\r\n\r\nok"),
+        std::string("HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nok")}) {
     CAPTURE(text);
     work.open();
     work.answered(text, true);
--- a/test/unit/configuration.cpp
+++ b/test/unit/configuration.cpp
@@ -73,11 +73,12 @@
     const char* pointer;
     const char* value;
   };
-  const auto wrong = GENERATE(
-      Case{"/route_table/1/plant", "\"p9\""}, Case{"/route_table/0/apportion/0/plant", "\"p9\""},
-      Case{"/route_table/1/path_prefix", "\"/x/\""}, Case{"/route_table/0/apportion", "[{\"plant\":\"p1\",\"gain\":0}]"},
-      Case{"/route_table/0/apportion", "[]"}, Case{"/route_table/0/deadline_ms", "0"}, Case{"/revision", "0"},
-      Case{"/route_table", "{}"}, Case{"/plants", "null"}, Case{"/route_table/0/host", "4"});
+  const auto wrong =
+      GENERATE(Case{"/route_table/1/plant", "\"p9\""}, Case{"/route_table/0/apportion/0/plant", "\"p9\""},
+               Case{"/route_table/1/path_prefix", "\"/x/\""},
+               Case{"/route_table/0/apportion", "[{\"plant\":\"p1\",\"gain\":0}]"},
+               Case{"/route_table/0/apportion", "[]"}, Case{"/route_table/0/deadline_ms", "0"}, Case{"/revision", "0"},
+               Case{"/route_table", "{}"}, Case{"/plants", "null"}, Case{"/route_table/0/host", "4"});
   CAPTURE(wrong.pointer, wrong.value);
   CHECK_FALSE(platform_read_config(with(wrong.pointer, wrong.value)).faults.empty());
   CHECK(decide(ConfigCallKind::replace, "7", with(wrong.pointer, wrong.value)).status == 400);
@@ -116,7 +117,8 @@
   CHECK(decide(ConfigCallKind::amend, "7", R"({"revision":8,"remove":{"route_table":["r2"]}})").status == 200);
   CHECK(decide(ConfigCallKind::amend, "7", R"({"revision":8,"remove":{"plants":["p2"]}})").status == 400);
   CHECK(decide(ConfigCallKind::amend, "7", R"({"revision":7})").status == 400);
-  CHECK(operation(ConfigCallKind::replace, "7", next).change() == operation(ConfigCallKind::replace, "7", next).change());
+  CHECK(operation(ConfigCallKind::replace, "7", next).change() ==
+        operation(ConfigCallKind::replace, "7", next).change());
   CHECK(operation(ConfigCallKind::amend, "7", next).change() != operation(ConfigCallKind::amend, "6", next).change());
 }
 
--- a/test/unit/controlsim.cpp
+++ b/test/unit/controlsim.cpp
@@ -55,8 +55,10 @@
       const auto* state = world.control(address);
       if (state->formation.phase != CorePhase::bound) continue;
       const bool first = state->formation.core.disks(0).disk() == state->member.self.disk();
-      if (first) proposer = address;
-      else others.push_back(address);
+      if (first)
+        proposer = address;
+      else
+        others.push_back(address);
     }
     if (!proposer.empty() && !others.empty()) lost = lose_proposer ? proposer : others.front();
   }
@@ -69,7 +71,8 @@
   world.start(lost);
   world.run_until(world.now() + 40000);
   std::set<std::uint64_t> clusters;
-  for (const auto& address : {"cp1", "cp2", "cp3", "cp4"}) clusters.insert(world.control(address)->member.self.cluster());
+  for (const auto& address : {"cp1", "cp2", "cp3", "cp4"})
+    clusters.insert(world.control(address)->member.self.cluster());
   CHECK(clusters.size() == 1);
 }
 
@@ -172,7 +175,8 @@
   for (const auto& [key, count] : whole) CHECK(count == 1);
 }
 
-TEST_CASE("when a majority of the core is gone for good one named disk goes on, and the old core can't come back", "[control]") {
+TEST_CASE("when a majority of the core is gone for good one named disk goes on, and the old core can't come back",
+          "[control]") {
   const auto seed = GENERATE(1, 2, 3);
   CAPTURE(seed);
   FleetPlan plan;
--- a/test/unit/datasim.cpp
+++ b/test/unit/datasim.cpp
@@ -13,7 +13,8 @@
 double middle_wait(const Callers& callers, Moment from) {
   std::vector<double> waits;
   for (const auto& call : callers.calls())
-    if (call.asked >= from && outcome_of(call) == CallOutcome::whole) waits.push_back(static_cast<double>(call.told.at - call.asked));
+    if (call.asked >= from && outcome_of(call) == CallOutcome::whole)
+      waits.push_back(static_cast<double>(call.told.at - call.asked));
   std::ranges::sort(waits);
   return waits.empty() ? 1e9 : waits[waits.size() / 2];
 }
@@ -44,7 +45,8 @@
   Moment in_force = 0;
   while (in_force == 0 && world.now() < 34000) {
     world.run_until(world.now() + 5);
-    const bool all = std::ranges::all_of(fleet.datas, [&](const auto& node) { return world.data(node)->document_version == 2; });
+    const bool all =
+        std::ranges::all_of(fleet.datas, [&](const auto& node) { return world.data(node)->document_version == 2; });
     if (all) in_force = world.now();
   }
   REQUIRE(in_force != 0);
@@ -65,7 +67,8 @@
   CHECK(callers.whole_share(30000, 60000) > 0.95);
 }
 
-TEST_CASE("a removed route is served by nobody once the new configuration is in force, held requests included", "[data]") {
+TEST_CASE("a removed route is served by nobody once the new configuration is in force, held requests included",
+          "[data]") {
   FleetPlan plan;
   plan.models = 3;
   plan.load_ms = 6000;
--- a/test/unit/daysim.cpp
+++ b/test/unit/daysim.cpp
@@ -8,7 +8,8 @@
   check(run_day(static_cast<std::uint64_t>(seed)));
 }
 
-TEST_CASE("no holder lost with a load in a frozen worker's buffer makes the store be pulled from too fast", "[takeover]") {
+TEST_CASE("no holder lost with a load in a frozen worker's buffer makes the store be pulled from too fast",
+          "[takeover]") {
   const auto seed = GENERATE(3, 4, 11, 43);
   CAPTURE(seed);
   const auto result = run_takeover(static_cast<std::uint64_t>(seed));
--- a/test/unit/hostile.cpp
+++ b/test/unit/hostile.cpp
@@ -72,11 +72,13 @@
     auto spoiled = spoil(event, chance);
     if (!spoiled) return;
     auto copy = node.state;
-    std::visit([&](auto& state) {
-      const auto effects = reduce(state, *spoiled, local);
-      reduce(state, Ticked{chance.number()}, local + 25);
-      given += effects.size() < 100000 ? 1 : 0;
-    }, copy);
+    std::visit(
+        [&](auto& state) {
+          const auto effects = reduce(state, *spoiled, local);
+          reduce(state, Ticked{chance.number()}, local + 25);
+          given += effects.size() < 100000 ? 1 : 0;
+        },
+        copy);
   };
   world.run_until(4000);
   operators.put("cp1", 0);
@@ -153,7 +155,9 @@
     document.replace(place, 4, "\"" + odd + "\"");
   for (const auto* node : {"cp1", "cp2", "cp3", "dp1"}) {
     CHECK(ask(node, {0, "PUT", "/v1/config", {{"weldsail-base", "1"}}, document}) == 422);
-    CHECK(ask(node, {0, "PUT", "/v1/config", {{"weldsail-base", "1"}, {"weldsail-change", odd}}, fleet.document("x")}) == 400);
+    CHECK(
+        ask(node, {0, "PUT", "/v1/config", {{"weldsail-base", "1"}, {"weldsail-change", odd}}, fleet.document("x")}) ==
+        400);
     CHECK(ask(node, {0, "GET", "/v1/config/changes/" + odd, {}, {}}) == 400);
   }
   CHECK(ask("dp1", {0, "POST", "/v1/tenants/t1/routes/seat", {{"idempotency-key", odd}}, "{}"}) == 400);
--- a/test/unit/hostileprocess.cpp
+++ b/test/unit/hostileprocess.cpp
@@ -1,9 +1,9 @@
 #include <catch2/catch.hpp>
 
 #include <sys/socket.h>
+#include <unistd.h>
 #include <algorithm>
 #include <csignal>
-#include <unistd.h>
 
 #include "shell/server.hpp"
 #include "tools/realfleet.hpp"
@@ -59,15 +59,14 @@
       std::string("\0\xff\x16\x03\x01", 5)};
   for (int turn = 0; turn < 100; ++turn)
     rude.push_back(std::make_unique<Rude>(address, kinds[static_cast<std::size_t>(turn) % kinds.size()]));
-  const auto all_closed = [&] {
-    return std::ranges::all_of(rude, [](const auto& item) { return item->closed(); });
-  };
+  const auto all_closed = [&] { return std::ranges::all_of(rude, [](const auto& item) { return item->closed(); }); };
   CHECK(fleet.pump(all_closed, 20000));
   CHECK(fleet.ask_until_good("GET", address, "/v1/status", {}, {}, 5000).status == 200);
   rude.clear();
   for (const auto& peers : {fleet.datas[0].peers, fleet.controls[0].peers})
-    for (const auto& bytes : {std::string("POST /v1/peer HTTP/1.1\r\nhost: x\r\n\r\n"), std::string("weldsail1\n\0\0\0\2\xff\xff", 16),
-                              std::string("weldsail1\n\0\0\0\3\x08\x01\x12", 17), std::string("weldsail1\n\xff\xff\xff\xff")})
+    for (const auto& bytes :
+         {std::string("POST /v1/peer HTTP/1.1\r\nhost: x\r\n\r\n"), std::string("weldsail1\n\0\0\0\2\xff\xff", 16),
+          std::string("weldsail1\n\0\0\0\3\x08\x01\x12", 17), std::string("weldsail1\n\xff\xff\xff\xff")})
       rude.push_back(std::make_unique<Rude>(peers, bytes));
   CHECK(fleet.pump(all_closed, 5000));
   for (auto* child : {&fleet.datas[0], &fleet.controls[0]}) fleet.signal(*child, SIGHUP);
--- a/test/unit/listing.cpp
+++ b/test/unit/listing.cpp
@@ -58,7 +58,8 @@
   const auto first = asker.tick(1000);
   REQUIRE(first);
   CHECK(first->path == "/units");
-  const auto second = asker.answer(200, R"({"units":[)" + unit_text("i-2", "ready") + R"(],"next_token":"p/50"})", 1010);
+  const auto second =
+      asker.answer(200, R"({"units":[)" + unit_text("i-2", "ready") + R"(],"next_token":"p/50"})", 1010);
   REQUIRE(second);
   CHECK(second->path == "/units?page_token=p%2F50");
   CHECK_FALSE(asker.complete);
--- a/test/unit/messages.cpp
+++ b/test/unit/messages.cpp
@@ -1,5 +1,5 @@
-#include "shell/messenger.hpp"
 #include "shell/ask.hpp"
+#include "shell/messenger.hpp"
 #include "unit/rawsocket.hpp"
 
 using namespace weldsail;
@@ -100,9 +100,9 @@
   const auto address = *to.messenger.listen("127.0.0.1:0");
   const auto text = numbered(5).SerializeAsString();
   const auto good = std::string("weldsail1\n\0\0\0", 13) + static_cast<char>(text.size()) + text;
-  for (const auto& bytes : {std::string("GET / HTTP/1.1\r\n\r\n"), std::string("POST /v1/peer HTTP/1.1\r\nhost: x\r\n\r\n"),
-                            std::string("weldsail2\n"), good + std::string("\0\0\0\1\xff", 5),
-                            good + "\xff\xff\xff\xff"}) {
+  for (const auto& bytes :
+       {std::string("GET / HTTP/1.1\r\n\r\n"), std::string("POST /v1/peer HTTP/1.1\r\nhost: x\r\n\r\n"),
+        std::string("weldsail2\n"), good + std::string("\0\0\0\1\xff", 5), good + "\xff\xff\xff\xff"}) {
     auto caller = raw_caller(address);
     caller->say(bytes);
     CHECK(pump(loop, [&] {
--- a/test/unit/parts.cpp
+++ b/test/unit/parts.cpp
@@ -205,7 +205,8 @@
   CHECK(pointers(R"({"cells":{"a":{"tenants":{"t":{}}},"b":{"tenants":{"t":{}}}}})") == "/cells/b/tenants/t ");
   CHECK(pointers(R"({"cells":{"a":{"tenants":{"t":{"routes":{"r":{"kind":"call","service":"x"},"r":{"kind":"y"}}}}}}})")
             .find("/cells/a/tenants/t/routes/r ") == 0);
-  CHECK(pointers(R"({"cells":{},"models":{"m":{"weights_mb":1,"prefill":{"min":3,"max":3},"decode":{"min":1,"max":1}}}})") ==
+  CHECK(pointers(
+            R"({"cells":{},"models":{"m":{"weights_mb":1,"prefill":{"min":3,"max":3},"decode":{"min":1,"max":1}}}})") ==
         "/models/m ");
   CHECK(pointers(R"({"cells":{},"scaler":{"ratio_min":0.3333333}})") == "/scaler/ratio_min ");
   const auto changed = change_config(R"({"cells":{"a":{}}})", R"({"set":{"/cells/b":{}},"remove":["/cells/a"]})");
--- a/test/unit/pathcarry.cpp
+++ b/test/unit/pathcarry.cpp
@@ -34,7 +34,10 @@
         extra + "]";
     const std::string plants =
         R"([{"label":"chat","probe":"/p","conn_limit":300,"runtime":{"capacity":64,"cache_tokens":100000,"stride":6,"models":[{"label":"m1","weights_mb":70000,"load_s":2,"adapters":2,"adapter_mb":50}],"weights_mb":220000,"adapter_capacity":8,"loads_per_s":4}},{"label":"seat","probe":"/p","conn_limit":100}])";
-    path_configure(state, R"({"revision":)" + std::to_string(revision) + R"(,"route_table":)" + routes + R"(,"plants":)" + plants + "}", now, effects);
+    path_configure(
+        state,
+        R"({"revision":)" + std::to_string(revision) + R"(,"route_table":)" + routes + R"(,"plants":)" + plants + "}",
+        now, effects);
     REQUIRE(state.path.config);
     REQUIRE(state.path.config->revision == revision);
   }
@@ -141,8 +144,10 @@
   Bench bench;
   bench.ask("/seat/x", false);
   const auto first = bench.only<OpenPipe>();
-  if (GENERATE(true, false)) bench.head(first, 200, "another");
-  else bench.happen(PipeHead{first.pipe, 200, {{"x-trial-id", "t1"}}});
+  if (GENERATE(true, false))
+    bench.head(first, 200, "another");
+  else
+    bench.happen(PipeHead{first.pipe, 200, {{"x-trial-id", "t1"}}});
   CHECK(bench.all<CancelPipe>().size() == 1);
   CHECK(bench.all<AnswerHead>().empty());
   for (const auto& answer : bench.all<Answer>()) CHECK(answer.status >= 500);
@@ -173,7 +178,8 @@
   const auto pipe = bench.only<OpenPipe>();
   bench.head(pipe, 200, "t1");
   bench.happen(PipeBytes{pipe.pipe, "id: 1\ndata: a\n\n"});
-  if (GENERATE(true, false)) bench.happen(PipeBytes{pipe.pipe, "id: 1\ndata: a\n\n"});
+  if (GENERATE(true, false))
+    bench.happen(PipeBytes{pipe.pipe, "id: 1\ndata: a\n\n"});
   else {
     bench.happen(PipeBytes{pipe.pipe, "id: 2\nda"});
     bench.happen(PipeEnded{pipe.pipe, true, true, {}});
--- a/test/unit/pathplain.cpp
+++ b/test/unit/pathplain.cpp
@@ -24,7 +24,8 @@
     if (random() % 2 == 0) path += "x";
     std::optional<std::string> wanted;
     for (const auto& route : config.routes)
-      if (route.host == "h" && path.starts_with(route.prefix) && (!wanted || route.prefix.size() > wanted->size())) wanted = route.prefix;
+      if (route.host == "h" && path.starts_with(route.prefix) && (!wanted || route.prefix.size() > wanted->size()))
+        wanted = route.prefix;
     const auto found = index.find("h", path);
     REQUIRE(found.has_value() == wanted.has_value());
     if (found) CHECK(config.routes[*found].prefix == *wanted);
--- a/test/unit/pathtrouble.cpp
+++ b/test/unit/pathtrouble.cpp
@@ -20,7 +20,8 @@
   CHECK(core.read("c1") == Core::document(7, "b"));
 }
 
-TEST_CASE("an owner that dies, freezes, leaves, is cut off or whose disk is full or stalls holds no order up", "[control]") {
+TEST_CASE("an owner that dies, freezes, leaves, is cut off or whose disk is full or stalls holds no order up",
+          "[control]") {
   const auto trouble = GENERATE(0, 1, 2, 3, 4, 5, 6, 7);
   const auto seed = GENERATE(1, 2, 3, 4);
   CAPTURE(trouble, seed);
--- a/test/unit/placingplan.cpp
+++ b/test/unit/placingplan.cpp
@@ -46,7 +46,8 @@
     const bool used = want.demand.waiting + want.demand.running > 0;
     want.demand.quiet = used ? 0 : chance.between(0, 20000);
     for (std::size_t adapter = 1; adapter <= shape.adapters; ++adapter)
-      if (chance.happens(0.3)) want.adapters.emplace_back("a" + std::to_string(adapter), 1.0 / static_cast<double>(adapter));
+      if (chance.happens(0.3))
+        want.adapters.emplace_back("a" + std::to_string(adapter), 1.0 / static_cast<double>(adapter));
   }
   PlanInput make() { return {paths, books, committed, wants, 3000, known, true, now}; }
   std::int64_t weights(const std::string& identity) const {
@@ -188,8 +189,10 @@
         }
       while (store_allows(share, limits, doubtful, at)) {
         store_take(share);
-        if (chance.happens(0.05)) ++doubtful;
-        else begun.push_back(at);
+        if (chance.happens(0.05))
+          ++doubtful;
+        else
+          begun.push_back(at);
       }
       while (!begun.empty() && begun.front() <= at - 5000) begun.pop_front();
       CHECK(static_cast<double>(begun.size()) <= most);
--- a/test/unit/process.cpp
+++ b/test/unit/process.cpp
@@ -55,7 +55,9 @@
          reply.body.find("\"final\":true,\"pieces\":" + std::to_string(pieces)) != std::string::npos;
 }
 
-std::size_t runs_at(RealFleet& fleet, std::size_t worker) { return fleet.back().workers()[worker]->model().runs().size(); }
+std::size_t runs_at(RealFleet& fleet, std::size_t worker) {
+  return fleet.back().workers()[worker]->model().runs().size();
+}
 
 }  // namespace
 
@@ -70,10 +72,11 @@
       const auto read = fleet.ask_until_good("GET", child.callers, "/v1/config", {}, {}, 10000);
       CHECK(read.body == document);
     }
-  const auto conflict =
-      fleet.ask("PUT", fleet.controls[1].callers, "/v1/config", {{"weldsail-base", "0"}, {"weldsail-change", "second"}}, document);
+  const auto conflict = fleet.ask("PUT", fleet.controls[1].callers, "/v1/config",
+                                  {{"weldsail-base", "0"}, {"weldsail-change", "second"}}, document);
   CHECK(conflict.status == 409);
-  const auto stream = fleet.ask_until_good("POST", fleet.datas[1].callers, "/v1/tenants/supra/routes/chat", {}, chat, 30000);
+  const auto stream =
+      fleet.ask_until_good("POST", fleet.datas[1].callers, "/v1/tenants/supra/routes/chat", {}, chat, 30000);
   CHECK(final_stream(stream, 7));
   const auto seat = fleet.ask_until_good("POST", fleet.datas[0].callers, "/v1/tenants/supra/routes/seat",
                                          {{"weldsail-request", "r1"}}, R"({"caller": "seat1"})", 10000);
@@ -82,7 +85,8 @@
   CHECK(runs_at(fleet, 4) == 1);
   CHECK(fleet.ask("POST", fleet.datas[0].callers, "/v1/tenants/nobody/routes/chat", {}, chat).status == 404);
   CHECK(fleet.ask("POST", fleet.datas[0].callers, "/v1/tenants/supra/routes/chat", {}, "{").status == 400);
-  CHECK(fleet.ask("POST", fleet.datas[0].callers, "/v1/tenants/supra/routes/chat", {}, std::string(2U << 20U, 'x')).status == 413);
+  CHECK(fleet.ask("POST", fleet.datas[0].callers, "/v1/tenants/supra/routes/chat", {}, std::string(2U << 20U, 'x'))
+            .status == 413);
   const auto placements = fleet.ask("GET", fleet.datas[1].callers, "/v1/placements", {}, {});
   CHECK(placements.body.find("hall/m1") != std::string::npos);
   for (auto* group : {&fleet.datas, &fleet.controls})
@@ -104,9 +108,12 @@
   unsetenv("LD_PRELOAD");
   unsetenv("ASAN_OPTIONS");
   REQUIRE(started);
-  REQUIRE(fleet.ask_until_good("PUT", fleet.datas[0].callers, "/v1/config",
-                               {{"weldsail-base", "0"}, {"weldsail-change", "first"}}, document, 20000).status == 200);
-  REQUIRE(final_stream(fleet.ask_until_good("POST", fleet.datas[0].callers, "/v1/tenants/supra/routes/review", {}, chat, 20000), 7));
+  REQUIRE(fleet
+              .ask_until_good("PUT", fleet.datas[0].callers, "/v1/config",
+                              {{"weldsail-base", "0"}, {"weldsail-change", "first"}}, document, 20000)
+              .status == 200);
+  REQUIRE(final_stream(
+      fleet.ask_until_good("POST", fleet.datas[0].callers, "/v1/tenants/supra/routes/review", {}, chat, 20000), 7));
   const auto owners = [&] {
     rapidjson::Document status;
     status.Parse(fleet.ask("GET", fleet.controls[0].callers, "/v1/status", {}, {}).body.c_str());
@@ -118,10 +125,12 @@
   for (const long seconds : {18000L, -36000L, 0L}) {
     jump(seconds);
     CHECK(final_stream(fleet.ask("POST", fleet.datas[1].callers, "/v1/tenants/supra/routes/review", {}, chat), 7));
-    CHECK(fleet.ask("POST", fleet.datas[0].callers, "/v1/tenants/supra/routes/seat", {}, R"({"caller": "s"})").status == 200);
-    const auto put = fleet.ask("PUT", fleet.datas[0].callers, "/v1/config",
-                               {{"weldsail-base", std::to_string(version)}, {"weldsail-change", "c" + std::to_string(version)}},
-                               document + std::string(static_cast<std::size_t>(version), ' '));
+    CHECK(fleet.ask("POST", fleet.datas[0].callers, "/v1/tenants/supra/routes/seat", {}, R"({"caller": "s"})").status ==
+          200);
+    const auto put =
+        fleet.ask("PUT", fleet.datas[0].callers, "/v1/config",
+                  {{"weldsail-base", std::to_string(version)}, {"weldsail-change", "c" + std::to_string(version)}},
+                  document + std::string(static_cast<std::size_t>(version), ' '));
     CHECK(put.status == 200);
     ++version;
   }
@@ -142,8 +151,10 @@
 TEST_CASE("a killed owner, a killed data node and a power cut of the core lose nothing accepted", "[process]") {
   RealFleet fleet(WELDSAIL_BINARIES, small_plan());
   REQUIRE(fleet.start());
-  REQUIRE(fleet.ask_until_good("PUT", fleet.datas[0].callers, "/v1/config",
-                               {{"weldsail-base", "0"}, {"weldsail-change", "first"}}, document, 20000).status == 200);
+  REQUIRE(fleet
+              .ask_until_good("PUT", fleet.datas[0].callers, "/v1/config",
+                              {{"weldsail-base", "0"}, {"weldsail-change", "first"}}, document, 20000)
+              .status == 200);
   const auto members = fleet.ask("GET", fleet.datas[0].callers, "/v1/status", {}, {});
   CHECK(members.status == 200);
   const auto status = fleet.ask_until_good("GET", fleet.controls[0].callers, "/v1/status", {}, {}, 5000);
@@ -161,7 +172,8 @@
   const auto put = fleet.ask_until_good("PUT", fleet.datas[0].callers, "/v1/config",
                                         {{"weldsail-base", "1"}, {"weldsail-change", "second"}}, second, 15000);
   CHECK(put.status == 200);
-  CHECK(final_stream(fleet.ask_until_good("POST", fleet.datas[0].callers, "/v1/tenants/supra/routes/review", {}, chat, 20000), 7));
+  CHECK(final_stream(
+      fleet.ask_until_good("POST", fleet.datas[0].callers, "/v1/tenants/supra/routes/review", {}, chat, 20000), 7));
   for (auto& child : fleet.controls)
     if (child.pid != 0) {
       fleet.signal(child, SIGKILL);
--- a/test/unit/rudeworker.cpp
+++ b/test/unit/rudeworker.cpp
@@ -30,7 +30,8 @@
   }
   void serve() {
     for (int got = 0; (got = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0;) pipes_[got];
-    for (auto item = pipes_.begin(); item != pipes_.end();) item = take(item->first, item->second) ? std::next(item) : drop(item);
+    for (auto item = pipes_.begin(); item != pipes_.end();)
+      item = take(item->first, item->second) ? std::next(item) : drop(item);
   }
   std::string address;
   std::string manner;
@@ -73,7 +74,8 @@
     if (manner == "whole" || manner == "early") say(descriptor, whole(R"({"granted":1})"));
     if (manner == "short") say(descriptor, "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{\"granted\":");
     if (manner == "without length") say(descriptor, "HTTP/1.1 200 OK\r\n\r\n{\"granted\":1}");
-    if (manner == "over-long") say(descriptor, "HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{\"granted\":1}{\"granted\":2}");
+    if (manner == "over-long")
+      say(descriptor, "HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{\"granted\":1}{\"granted\":2}");
     if (manner == "cut chunk") say(descriptor, "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n20\r\n{\"gra");
     if (manner == "head only") say(descriptor, "HTTP/1.1 200 OK\r\ncontent-le");
     if (manner == "garbage") say(descriptor, "granted\r\n\r\n");
@@ -93,7 +95,8 @@
 
 }  // namespace
 
-TEST_CASE("a call whose answer is cut, reset, misframed or early is told as what it is and never runs twice", "[process]") {
+TEST_CASE("a call whose answer is cut, reset, misframed or early is told as what it is and never runs twice",
+          "[process]") {
   RudeWorker worker;
   RealPlan plan;
   plan.control = 1;
@@ -108,8 +111,8 @@
   REQUIRE(fleet.ask_until_good("PUT", node, "/v1/config", {{"weldsail-base", "0"}}, document, 20000).status == 200);
   worker.manner = "whole";
   REQUIRE(fleet.ask_until_good("POST", node, "/v1/tenants/t/routes/seat", {}, "{}", 20000).status == 200);
-  for (const std::string manner : {"short", "without length", "cut chunk", "head only", "garbage", "reset", "half-closed",
-                                   "over-long", "early", "whole"}) {
+  for (const std::string manner : {"short", "without length", "cut chunk", "head only", "garbage", "reset",
+                                   "half-closed", "over-long", "early", "whole"}) {
     CAPTURE(manner);
     worker.manner = "whole";
     REQUIRE(fleet.ask_until_good("POST", node, "/v1/tenants/t/routes/seat", {}, "{}", 10000).status == 200);
@@ -119,8 +122,10 @@
     const auto reply = fleet.ask("POST", node, "/v1/tenants/t/routes/seat", {{"idempotency-key", manner}}, body);
     CHECK(reply.whole);
     const bool good = manner == "over-long" || manner == "early" || manner == "whole";
-    if (reply.status == 200) CHECK((good && reply.body == R"({"granted":1})"));
-    else CHECK(reply.body.find("unknown") != std::string::npos);
+    if (reply.status == 200)
+      CHECK((good && reply.body == R"({"granted":1})"));
+    else
+      CHECK(reply.body.find("unknown") != std::string::npos);
     if (manner == "whole") CHECK(reply.status == 200);
     CHECK(worker.runs == before + 1);
     worker.manner = "whole";
--- a/test/unit/runbooks.cpp
+++ b/test/unit/runbooks.cpp
@@ -1,11 +1,11 @@
 #include <catch2/catch.hpp>
 
+#include <sys/wait.h>
+#include <unistd.h>
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include "core/json.hpp"
 #include "tools/realfleet.hpp"
@@ -99,17 +99,31 @@
   RealFleet fleet(WELDSAIL_BINARIES, two_halls());
   REQUIRE(fleet.start());
   const auto file = write_file(fleet, "halls.json", halls);
-  const auto wrong = write_file(fleet, "wrong.json", R"({"cells":{"a":{"tenants":{"t":{"routes":{"r":{"kind":"odd"}}}}}}})");
-  REQUIRE(fleet.ask_until_good("PUT", fleet.datas[0].callers, "/v1/config", {{"weldsail-base", "0"}}, halls, 20000).status == 200);
-  REQUIRE(fleet.ask_until_good("POST", fleet.datas[0].callers, "/v1/tenants/supra/routes/chat", {}, R"({"prompt":"a","max_tokens":2})", 20000).status == 200);
+  const auto wrong =
+      write_file(fleet, "wrong.json", R"({"cells":{"a":{"tenants":{"t":{"routes":{"r":{"kind":"odd"}}}}}}})");
+  REQUIRE(fleet.ask_until_good("PUT", fleet.datas[0].callers, "/v1/config", {{"weldsail-base", "0"}}, halls, 20000)
+              .status == 200);
+  REQUIRE(fleet
+              .ask_until_good("POST", fleet.datas[0].callers, "/v1/tenants/supra/routes/chat", {},
+                              R"({"prompt":"a","max_tokens":2})", 20000)
+              .status == 200);
   std::vector<std::string> nodes;
   for (auto* group : {&fleet.controls, &fleet.datas})
     for (const auto& child : *group) nodes.push_back(child.callers);
-  const std::vector<std::vector<std::string>> commands{
-      {"config", "get"}, {"config", "history"}, {"config", "check", file}, {"config", "check", wrong},
-      {"config", "put", file, "--base", "0", "--change", "again"}, {"config", "put", wrong, "--base", "1", "--change", "odd"},
-      {"config", "outcome", "none"}, {"core", "show"}, {"core", "remove", "127.0.0.1:1"}, {"drain", "nothing"},
-      {"config", "move-tenant", "nobody", "old", "new"}, {"odd"}, {"core"}, {"runbook", "list"}};
+  const std::vector<std::vector<std::string>> commands{{"config", "get"},
+                                                       {"config", "history"},
+                                                       {"config", "check", file},
+                                                       {"config", "check", wrong},
+                                                       {"config", "put", file, "--base", "0", "--change", "again"},
+                                                       {"config", "put", wrong, "--base", "1", "--change", "odd"},
+                                                       {"config", "outcome", "none"},
+                                                       {"core", "show"},
+                                                       {"core", "remove", "127.0.0.1:1"},
+                                                       {"drain", "nothing"},
+                                                       {"config", "move-tenant", "nobody", "old", "new"},
+                                                       {"odd"},
+                                                       {"core"},
+                                                       {"runbook", "list"}};
   for (const auto& words : commands) {
     std::set<std::pair<int, std::string>> answers;
     for (const auto& node : nodes) {
@@ -140,15 +154,19 @@
     return told.code;
   };
   CHECK(wsctl(fleet, {"runbook", "run", "drain-locality", "--node", node}).code == 2);
-  CHECK(wsctl(fleet, {"runbook", "run", "drain-locality", "--node", node, "--set", "locality=z1", "--set", "odd=1"}).code == 2);
-  const auto dry = wsctl(fleet, {"runbook", "run", "drain-locality", "--node", node, "--set", "locality=z1", "--dry-run"});
+  CHECK(wsctl(fleet, {"runbook", "run", "drain-locality", "--node", node, "--set", "locality=z1", "--set", "odd=1"})
+            .code == 2);
+  const auto dry =
+      wsctl(fleet, {"runbook", "run", "drain-locality", "--node", node, "--set", "locality=z1", "--dry-run"});
   CHECK(dry.code == 0);
   CHECK(dry.text.find("would run") != std::string::npos);
   run("drain-locality", {"locality=z1"});
   run("undrain-locality", {"locality=z1"});
   const auto next = write_file(fleet, "next.json", halls + " ");
   const auto backup = fleet.folder() + "/backup.json";
-  CHECK(wsctl(fleet, {"runbook", "run", "roll-configuration", "--node", node, "--set", "file=" + next, "--set", "backup=" + backup}).code == 6);
+  CHECK(wsctl(fleet, {"runbook", "run", "roll-configuration", "--node", node, "--set", "file=" + next, "--set",
+                      "backup=" + backup})
+            .code == 6);
   run("roll-configuration", {"file=" + next, "backup=" + backup});
   CHECK(fleet.ask("GET", node, "/v1/config", {}, {}).body == halls + " ");
   run("back-out-configuration", {"backup=" + backup});
@@ -184,7 +202,9 @@
   CHECK(fleet.pump(gone, 20000));
   rapidjson::Document status;
   status.Parse(fleet.ask("GET", fresh.callers, "/v1/status", {}, {}).body.c_str());
-  run("recover-core", {"cluster=" + json_string_at(status, "/cluster"), "disk=" + disk, "first=" + fleet.controls[4].peers,
-                       "second=" + fleet.controls[5].peers}, fresh.callers);
+  run("recover-core",
+      {"cluster=" + json_string_at(status, "/cluster"), "disk=" + disk, "first=" + fleet.controls[4].peers,
+       "second=" + fleet.controls[5].peers},
+      fresh.callers);
   CHECK(fleet.ask_until_good("GET", node, "/v1/config", {}, {}, 10000).status == 200);
 }
--- a/test/unit/scaler.cpp
+++ b/test/unit/scaler.cpp
@@ -30,7 +30,8 @@
   PhaseVector pass(double missed_rate, double generated_rate, double first_ms = 100, double inter_ms = 10,
                    bool complete = true) {
     now += 15000;
-    scaler_observe(history, sample_at(now, missed_rate * 15, generated_rate * 15, first_ms, inter_ms, complete), options);
+    scaler_observe(history, sample_at(now, missed_rate * 15, generated_rate * 15, first_ms, inter_ms, complete),
+                   options);
     const auto advice = scaler_advise(history, standing, options, now);
     return scaler_constrain(history, advice, standing, model, options, now);
   }
@@ -63,15 +64,17 @@
       standing.cooling = chance.happens(0.1);
       standing.waiting = chance.happens(0.2) ? 1 + chance.below(50) : 0;
       standing.waiting_prompt_tokens = static_cast<double>(standing.waiting * 500);
-      standing.ready = {static_cast<std::int64_t>(chance.below(static_cast<std::uint64_t>(standing.current.prefill) + 1)),
-                        standing.current.decode};
+      standing.ready = {
+          static_cast<std::int64_t>(chance.below(static_cast<std::uint64_t>(standing.current.prefill) + 1)),
+          standing.current.decode};
       if (chance.happens(0.1)) standing.decode_grown = trace.now - static_cast<Moment>(chance.below(200000));
       scaler_observe(trace.history, sample, trace.options);
       oracle.observe(sample);
       const auto advice = scaler_advise(trace.history, standing, trace.options, trace.now);
       const auto chosen = scaler_constrain(trace.history, advice, standing, trace.model, trace.options, trace.now);
       const auto expected = oracle.decide(standing, static_cast<double>(trace.now) / 1000);
-      INFO("seed " << seed << " pass " << pass << " current " << standing.current.prefill << "/" << standing.current.decode);
+      INFO("seed " << seed << " pass " << pass << " current " << standing.current.prefill << "/"
+                   << standing.current.decode);
       REQUIRE(std::pair(chosen.prefill, chosen.decode) == std::pair(expected.prefill, expected.decode));
       standing.current = chosen;
     }
@@ -106,10 +109,22 @@
   };
   CHECK(shrinks([&](Trace& trace) { pass(trace, 100, 10, true); }) == PhaseVector{3, 3});
   CHECK(shrinks([&](Trace& trace) { pass(trace, 100, 10, false); }) == PhaseVector{4, 4});
-  CHECK(shrinks([&](Trace& trace) { trace.standing.retiring = true; pass(trace, 100, 10, true); }) == PhaseVector{4, 4});
-  CHECK(shrinks([&](Trace& trace) { trace.standing.cooling = true; pass(trace, 100, 10, true); }) == PhaseVector{4, 4});
-  CHECK(shrinks([&](Trace& trace) { trace.standing.decode_grown = trace.now; pass(trace, 100, 10, true); }) == PhaseVector{3, 4});
-  CHECK(shrinks([&](Trace& trace) { trace.standing.ready = {0, 0}; pass(trace, 100, 10, true); }) == PhaseVector{4, 4});
+  CHECK(shrinks([&](Trace& trace) {
+          trace.standing.retiring = true;
+          pass(trace, 100, 10, true);
+        }) == PhaseVector{4, 4});
+  CHECK(shrinks([&](Trace& trace) {
+          trace.standing.cooling = true;
+          pass(trace, 100, 10, true);
+        }) == PhaseVector{4, 4});
+  CHECK(shrinks([&](Trace& trace) {
+          trace.standing.decode_grown = trace.now;
+          pass(trace, 100, 10, true);
+        }) == PhaseVector{3, 4});
+  CHECK(shrinks([&](Trace& trace) {
+          trace.standing.ready = {0, 0};
+          pass(trace, 100, 10, true);
+        }) == PhaseVector{4, 4});
   Trace slow;
   slow.settle({4, 4});
   for (int turn = 0; turn < 22; ++turn) CHECK(slow.pass(2000, 800, 600, 10).prefill == 4);
--- a/test/unit/scalermodel.hpp
+++ b/test/unit/scalermodel.hpp
@@ -31,7 +31,8 @@
                            goal_of(wanted.decode, floor.decode, standing.current.decode)};
     const bool up = goal.prefill > standing.current.prefill || goal.decode > standing.current.decode;
     const bool grace = standing.decode_grown && now_s - seconds(*standing.decode_grown) < options_.decode_grace_s;
-    const bool shrink = !up && now_s - wanted_.front().first >= options_.floor_window_s && !standing.retiring && !standing.cooling;
+    const bool shrink =
+        !up && now_s - wanted_.front().first >= options_.floor_window_s && !standing.retiring && !standing.cooling;
     for (std::int64_t first = 0; first <= 64; ++first)
       for (std::int64_t second = 0; second <= 64; ++second) {
         if (!reachable(first, standing.current.prefill, floor.prefill, model_.prefill, up && !standing.pending,
@@ -88,7 +89,8 @@
     }
     if (values.empty()) return std::nullopt;
     const auto rank = static_cast<std::size_t>(std::ceil(0.95 * static_cast<double>(values.size()))) - 1;
-    std::ranges::sort(values, [](double left, double right) { return right < 0 ? left >= 0 : left >= 0 && left < right; });
+    std::ranges::sort(values,
+                      [](double left, double right) { return right < 0 ? left >= 0 : left >= 0 && left < right; });
     return values[rank] < 0 ? sum / static_cast<double>(values.size()) : values[rank];
   }
 
@@ -131,9 +133,11 @@
     if (count == current) return true;
     if (count > current) {
       const double percent = std::ceil(static_cast<double>(current) * options_.grow_percent / 100);
-      return grow && count <= bounds.most && static_cast<double>(count - current) <= std::max(options_.grow_step, percent);
+      return grow && count <= bounds.most &&
+             static_cast<double>(count - current) <= std::max(options_.grow_step, percent);
     }
-    return shrink && count >= floor && count >= bounds.least && static_cast<double>(current - count) <= options_.shrink_step;
+    return shrink && count >= floor && count >= bounds.least &&
+           static_cast<double>(current - count) <= options_.shrink_step;
   }
 
   ScalerOptions options_;
--- a/test/unit/scalersim.cpp
+++ b/test/unit/scalersim.cpp
@@ -21,7 +21,8 @@
   explicit PlacementWatch(Fleet& fleet) {
     fleet.world.stepped = [this, &fleet](SimNode& node) {
       const auto* state = std::get_if<DataState>(&node.state);
-      if (state == nullptr || (!history.empty() && state->placement.decision() <= history.back().placement.decision())) return;
+      if (state == nullptr || (!history.empty() && state->placement.decision() <= history.back().placement.decision()))
+        return;
       if (state->placement.decision() > 0) history.push_back({fleet.world.now(), state->placement});
     };
   }
@@ -36,12 +37,14 @@
 void hold_asking(Callers& callers, Fleet& fleet, const std::string& route, Moment until) {
   if (fleet.world.now() >= until) return;
   callers.ask_stream("dp1", route, 5);
-  fleet.world.at(fleet.world.now() + 5000, [&callers, &fleet, route, until] { hold_asking(callers, fleet, route, until); });
+  fleet.world.at(fleet.world.now() + 5000,
+                 [&callers, &fleet, route, until] { hold_asking(callers, fleet, route, until); });
 }
 
 }  // namespace
 
-TEST_CASE("growth whose loads never finish is rolled back at 300 s, and later when the holder changed meanwhile", "[vectors]") {
+TEST_CASE("growth whose loads never finish is rolled back at 300 s, and later when the holder changed meanwhile",
+          "[vectors]") {
   const bool change_holder = GENERATE(false, true);
   CAPTURE(change_holder);
   FleetPlan plan;
@@ -107,8 +110,10 @@
     if (unit == nullptr) continue;
     if (unit->cooling() && cooled == 0) cooled = item.when;
     if (cooled == 0 || item.when - cooled >= 299000) continue;
-    if (unit->vector().prefill() >= 1 && unit->vector().decode() >= 1) ++restored;
-    else ++shrunk_while_cooling;
+    if (unit->vector().prefill() >= 1 && unit->vector().decode() >= 1)
+      ++restored;
+    else
+      ++shrunk_while_cooling;
   }
   CHECK(cooled != 0);
   CHECK(restored > 0);
@@ -145,8 +150,8 @@
       ++loads;
       const auto given = std::ranges::any_of(watch.history, [&](const Committed& item) {
         return item.when <= order.when + 1000 && std::ranges::any_of(item.placement.workers(), [&](const auto& record) {
-          return record.address() == address && holds_unit(record, "cell/" + order.name);
-        });
+                 return record.address() == address && holds_unit(record, "cell/" + order.name);
+               });
       });
       CHECK(given);
     }
--- a/test/unit/serveranswers.cpp
+++ b/test/unit/serveranswers.cpp
@@ -65,8 +65,9 @@
 
 TEST_CASE("an answer keeps its headers, and its framing is the server's own") {
   Talk talk;
-  const std::vector<Header> headers{{"x-stamp", "1"},           {"content-length", "99"}, {"x-stamp", "2"},
-                                    {"transfer-encoding", "gzip"}, {"connection", "close"},  {"content-type", "a/b"}};
+  const std::vector<Header> headers{{"x-stamp", "1"},        {"content-length", "99"},
+                                    {"x-stamp", "2"},        {"transfer-encoding", "gzip"},
+                                    {"connection", "close"}, {"content-type", "a/b"}};
   talk.server.answer({talk.ask(get), 418, headers, "four"});
   REQUIRE(talk.hears("four"));
   CHECK(talk.caller->got.starts_with("HTTP/1.1 418 "));
--- a/test/unit/settings.cpp
+++ b/test/unit/settings.cpp
@@ -82,12 +82,13 @@
     const char* pointer;
     const char* value;
   };
-  const auto wrong = GENERATE(
-      Case{"/ip", nullptr}, Case{"/ip", "\"here\""}, Case{"/ip", "7"}, Case{"/zone", "\"\""}, Case{"/zone", nullptr},
-      Case{"/port_range/0", "70000"}, Case{"/port_range/0", "null"}, Case{"/seeds", "[]"}, Case{"/seeds/0", "\"10.2.0.24\""},
-      Case{"/endpoints/control", nullptr}, Case{"/endpoints/control", "\"10.1.0.15\""}, Case{"/first_start", "\"yes\""},
-      Case{"/data_dir", "null"}, Case{"/bounds/contact_ms", "\"3000\""}, Case{"/bounds/contact_ms", "1"},
-      Case{"/bounds/ack_ms", "-1"}, Case{"/tolerance/machines", "\"1\""}, Case{"/provider_api/address", "\"list\""});
+  const auto wrong =
+      GENERATE(Case{"/ip", nullptr}, Case{"/ip", "\"here\""}, Case{"/ip", "7"}, Case{"/zone", "\"\""},
+               Case{"/zone", nullptr}, Case{"/port_range/0", "70000"}, Case{"/port_range/0", "null"},
+               Case{"/seeds", "[]"}, Case{"/seeds/0", "\"10.2.0.24\""}, Case{"/endpoints/control", nullptr},
+               Case{"/endpoints/control", "\"10.1.0.15\""}, Case{"/first_start", "\"yes\""}, Case{"/data_dir", "null"},
+               Case{"/bounds/contact_ms", "\"3000\""}, Case{"/bounds/contact_ms", "1"}, Case{"/bounds/ack_ms", "-1"},
+               Case{"/tolerance/machines", "\"1\""}, Case{"/provider_api/address", "\"list\""});
   CAPTURE(wrong.pointer);
   const auto read = read_settings(with(control_settings, wrong.pointer, wrong.value), Program::control);
   REQUIRE_FALSE(read);
--- a/test/wscall/main.cpp
+++ b/test/wscall/main.cpp
@@ -27,7 +27,8 @@
   weldsail::Load load(loop, plan);
   while (load.tick(weldsail::monotonic_now())) loop.step(2);
   for (const auto& [outcome, number] : load.figures.outcomes) std::cout << outcome << "=" << number << " ";
-  std::cout << "faults=" << load.figures.faults << " first_piece_p50_ms=" << weldsail::percentile(load.figures.first_piece_ms, 0.5)
+  std::cout << "faults=" << load.figures.faults
+            << " first_piece_p50_ms=" << weldsail::percentile(load.figures.first_piece_ms, 0.5)
             << " call_p50_ms=" << weldsail::percentile(load.figures.call_ms, 0.5) << "\n";
   return load.figures.faults == 0 ? 0 : 1;
 }
--- a/test/wsfleet/hollow.cpp
+++ b/test/wsfleet/hollow.cpp
@@ -55,8 +55,14 @@
     node.events.push_back(MessageArrived{effect.envelope});
     return;
   }
-  OpenPipe pipe{hollow.next_message++, effect.address, "POST", "/v1/peer", {{"content-type", "application/x-protobuf"}},
-                effect.envelope.SerializeAsString(), false, monotonic_now() + 3000};
+  OpenPipe pipe{hollow.next_message++,
+                effect.address,
+                "POST",
+                "/v1/peer",
+                {{"content-type", "application/x-protobuf"}},
+                effect.envelope.SerializeAsString(),
+                false,
+                monotonic_now() + 3000};
   const auto head = "POST /v1/peer HTTP/1.1\r\nhost: " + pipe.address + "\r\ncontent-type: application/x-protobuf\r\n" +
                     "content-length: " + std::to_string(pipe.body.size()) + "\r\n\r\n";
   hollow.messages += 1;
@@ -97,7 +103,7 @@
   node->address = address;
   const bool control = place < controls;
   const MemberOptions member{control ? Program::control : Program::data, address, address,
-                             "z" + std::to_string(place % 15), seeds, 3000};
+                             "z" + std::to_string(place % 15),           seeds,   3000};
   if (control) {
     ControlOptions options;
     options.member = member;
@@ -139,9 +145,12 @@
 
 bool settled(const Hollow& hollow) {
   return std::ranges::all_of(hollow.nodes, [&](const auto& node) {
-    return std::ranges::count_if(member_of(*node).others, [](const auto& item) {
-             return item.second.entry.state() == static_cast<std::uint32_t>(MemberPhase::alive);
-           }) + 1 == static_cast<std::ptrdiff_t>(hollow.nodes.size());
+    return std::ranges::count_if(member_of(*node).others,
+                                 [](const auto& item) {
+                                   return item.second.entry.state() == static_cast<std::uint32_t>(MemberPhase::alive);
+                                 }) +
+               1 ==
+           static_cast<std::ptrdiff_t>(hollow.nodes.size());
   });
 }
 
@@ -172,7 +181,7 @@
 }
 
 void keep_under_half() {
-  struct sysinfo machine{};
+  struct sysinfo machine {};
   sysinfo(&machine);
   const rlim_t half = machine.totalram * machine.mem_unit / 2;
   const rlimit limit{half, half};
--- a/test/wsfleet/main.cpp
+++ b/test/wsfleet/main.cpp
@@ -63,7 +63,8 @@
 void print(const std::string& name, const Load& load) {
   std::cout << name;
   for (const auto& [outcome, number] : load.figures.outcomes) std::cout << " " << outcome << "=" << number;
-  std::cout << " faults=" << load.figures.faults << " first_piece_p50_ms=" << percentile(load.figures.first_piece_ms, 0.5)
+  std::cout << " faults=" << load.figures.faults
+            << " first_piece_p50_ms=" << percentile(load.figures.first_piece_ms, 0.5)
             << " first_piece_p95_ms=" << percentile(load.figures.first_piece_ms, 0.95)
             << " call_p50_ms=" << percentile(load.figures.call_ms, 0.5)
             << " call_p95_ms=" << percentile(load.figures.call_ms, 0.95) << "\n";
@@ -121,8 +122,10 @@
   TCLAP::ValueArg<double> streams("", "streams-per-s", "streams a second", false, 20, "rate", line);
   TCLAP::ValueArg<double> calls("", "calls-per-s", "calls a second", false, 30, "rate", line);
   TCLAP::ValueArg<std::int64_t> length("", "length-ms", "length of each part", false, 15000, "ms", line);
-  TCLAP::SwitchArg trouble("", "trouble", "40 s of kills, stops, ends and starts of every kind of process and of workers", line);
-  TCLAP::ValueArg<std::size_t> hollow("", "hollow", "only hollow nodes, so many in this process", false, 0, "count", line);
+  TCLAP::SwitchArg trouble("", "trouble",
+                           "40 s of kills, stops, ends and starts of every kind of process and of workers", line);
+  TCLAP::ValueArg<std::size_t> hollow("", "hollow", "only hollow nodes, so many in this process", false, 0, "count",
+                                      line);
   line.parse(count, arguments);
   if (hollow.isSet()) return print_hollow({hollow.getValue(), length.getValue()});
   rapidjson::Document fleet_document;
@@ -133,7 +136,8 @@
   RealFleet fleet(binaries.getValue(), read_plan(fleet_document));
   const auto begun = monotonic_now();
   if (!fleet.start()) return 3;
-  const auto put = fleet.ask_until_good("PUT", fleet.datas[0].callers, "/v1/config", {{"weldsail-base", "0"}}, config, 30000);
+  const auto put =
+      fleet.ask_until_good("PUT", fleet.datas[0].callers, "/v1/config", {{"weldsail-base", "0"}}, config, 30000);
   std::cout << "start ready_ms=" << monotonic_now() - begun << " put=" << put.status << "\n";
   LoadPlan plan;
   for (const auto& child : fleet.datas) plan.nodes.push_back(child.callers);
--- a/test/wssim/main.cpp
+++ b/test/wssim/main.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-int run_capacity(const weldsail::sim::CapacityPlan& plan, const std::string& varied, const std::vector<std::size_t>& counts) {
+int run_capacity(const weldsail::sim::CapacityPlan& plan, const std::string& varied,
+                 const std::vector<std::size_t>& counts) {
   using weldsail::sim::Varied;
   const std::map<std::string, Varied> names{
       {"nodes", Varied::nodes}, {"workers", Varied::workers}, {"models", Varied::models}, {"routes", Varied::routes}};
@@ -26,16 +27,11 @@
 int main(int count, char** arguments) {
   using weldsail::sim::ScenarioResult;
   const std::map<std::string, std::function<ScenarioResult(std::uint64_t)>> scenarios{
-      {"register", weldsail::sim::run_register},
-      {"day", weldsail::sim::run_day},
-      {"replace", weldsail::sim::run_replace},
-      {"takeover", weldsail::sim::run_takeover},
-      {"tbilisi", weldsail::sim::run_tbilisi},
-      {"kuusela", weldsail::sim::run_kuusela},
-      {"force", weldsail::sim::run_force},
-      {"rollout", weldsail::sim::run_rollout},
-      {"hard", weldsail::sim::run_hard},
-      {"placing", weldsail::sim::run_placing},
+      {"register", weldsail::sim::run_register}, {"day", weldsail::sim::run_day},
+      {"replace", weldsail::sim::run_replace},   {"takeover", weldsail::sim::run_takeover},
+      {"tbilisi", weldsail::sim::run_tbilisi},   {"kuusela", weldsail::sim::run_kuusela},
+      {"force", weldsail::sim::run_force},       {"rollout", weldsail::sim::run_rollout},
+      {"hard", weldsail::sim::run_hard},         {"placing", weldsail::sim::run_placing},
   };
   TCLAP::CmdLine line("wssim: seeded runs of whole fleets on virtual clocks, networks and disks", ' ', "0.1.0");
   TCLAP::ValueArg<std::string> scenario("", "scenario", "which", false, "register", "name", line);
@@ -69,7 +65,8 @@
     for (const auto& [name, value] : result.figures) sums[name] += value;
     if (result.faults.empty()) continue;
     ++failed;
-    std::cout << "seed=" << seed << " faults=" << result.faults.size() << " first=\"" << result.faults.front() << "\"\n";
+    std::cout << "seed=" << seed << " faults=" << result.faults.size() << " first=\"" << result.faults.front()
+              << "\"\n";
     if (verbose.getValue())
       for (const auto& fault : result.faults) std::cout << "  " << fault << "\n";
   }
