--- a/src/core/config.cpp
+++ b/src/core/configuration/config.cpp
@@ -1,10 +1,10 @@
-#include "core/config.hpp"
+#include "core/configuration/config.hpp"
 
 #include <algorithm>
 #include <cmath>
 
 #include "core/json.hpp"
-#include "core/scalerfields.hpp"
+#include "core/placement/scalerfields.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/config.hpp
+++ b/src/core/configuration/config.hpp
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "core/event.hpp"
-#include "core/outcome.hpp"
+#include "core/forwarding/outcome.hpp"
 
 namespace weldsail {
 
--- a/src/core/configchange.cpp
+++ b/src/core/configuration/configchange.cpp
@@ -1,4 +1,4 @@
-#include "core/config.hpp"
+#include "core/configuration/config.hpp"
 #include "core/json.hpp"
 
 namespace weldsail {
--- a/src/core/configduty.cpp
+++ b/src/core/configuration/configduty.cpp
@@ -1,11 +1,11 @@
-#include "core/configduty.hpp"
+#include "core/configuration/configduty.hpp"
 
 #include <charconv>
 
-#include "core/config.hpp"
-#include "core/config/pathduty.hpp"
+#include "core/configuration/config.hpp"
+#include "core/configuration/pathduty.hpp"
 #include "core/json.hpp"
-#include "core/rendezvous.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/configduty.hpp
+++ b/src/core/configuration/configduty.hpp
@@ -2,7 +2,7 @@
 #include <deque>
 
 #include "core/dialect.hpp"
-#include "core/operate.hpp"
+#include "core/operations/operate.hpp"
 
 namespace weldsail {
 
--- a/src/core/memo.cpp
+++ b/src/core/configuration/memo.cpp
@@ -1,4 +1,4 @@
-#include "core/memo.hpp"
+#include "core/configuration/memo.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/memo.hpp
+++ b/src/core/configuration/memo.hpp
@@ -1,6 +1,6 @@
 #pragma once
-#include "core/duty.hpp"
-#include "core/news.hpp"
+#include "core/configuration/news.hpp"
+#include "core/consensus/duty.hpp"
 
 namespace weldsail {
 
--- a/src/core/news.cpp
+++ b/src/core/configuration/news.cpp
@@ -1,8 +1,8 @@
-#include "core/news.hpp"
+#include "core/configuration/news.hpp"
 
 #include <algorithm>
 
-#include "core/rendezvous.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/news.hpp
+++ b/src/core/configuration/news.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "core/formation.hpp"
+#include "core/consensus/formation.hpp"
 
 namespace weldsail {
 
--- a/src/core/config/pathduty.cpp
+++ b/src/core/configuration/pathduty.cpp
@@ -1,6 +1,6 @@
-#include "core/config/pathduty.hpp"
+#include "core/configuration/pathduty.hpp"
 
-#include "core/rendezvous.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 
--- a/src/core/config/paths.cpp
+++ b/src/core/configuration/paths.cpp
@@ -1,4 +1,4 @@
-#include "core/config/paths.hpp"
+#include "core/configuration/paths.hpp"
 
 #include <algorithm>
 #include <set>
--- a/src/core/config/paths.hpp
+++ b/src/core/configuration/paths.hpp
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "core/config.hpp"
+#include "core/configuration/config.hpp"
 
 namespace weldsail {
 
--- a/src/core/acceptor.cpp
+++ b/src/core/consensus/acceptor.cpp
@@ -1,4 +1,4 @@
-#include "core/acceptor.hpp"
+#include "core/consensus/acceptor.hpp"
 
 #include <algorithm>
 
--- a/src/core/claim.cpp
+++ b/src/core/consensus/claim.cpp
@@ -1,4 +1,4 @@
-#include "core/claim.hpp"
+#include "core/consensus/claim.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/claim.hpp
+++ b/src/core/consensus/claim.hpp
@@ -2,7 +2,7 @@
 #include <optional>
 #include <set>
 
-#include "core/register.hpp"
+#include "core/consensus/register.hpp"
 
 namespace weldsail {
 
--- a/src/core/duty.cpp
+++ b/src/core/consensus/duty.cpp
@@ -1,8 +1,8 @@
-#include "core/duty.hpp"
+#include "core/consensus/duty.hpp"
 
 #include <algorithm>
 
-#include "core/rendezvous.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/duty.hpp
+++ b/src/core/consensus/duty.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "core/register.hpp"
+#include "core/consensus/register.hpp"
 
 namespace weldsail {
 
--- a/src/core/formation.cpp
+++ b/src/core/consensus/formation.cpp
@@ -1,8 +1,8 @@
-#include "core/formation.hpp"
+#include "core/consensus/formation.hpp"
 
 #include <algorithm>
 
-#include "core/rendezvous.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/founders.cpp
+++ b/src/core/consensus/founders.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <sstream>
 
-#include "core/formation.hpp"
+#include "core/consensus/formation.hpp"
 
 namespace weldsail {
 
--- a/src/core/recover.cpp
+++ b/src/core/consensus/recover.cpp
@@ -1,4 +1,4 @@
-#include "core/recover.hpp"
+#include "core/consensus/recover.hpp"
 
 #include <algorithm>
 
--- a/src/core/recover.hpp
+++ b/src/core/consensus/recover.hpp
@@ -1,7 +1,7 @@
 #pragma once
-#include "core/news.hpp"
-#include "core/operate.hpp"
-#include "core/repair.hpp"
+#include "core/configuration/news.hpp"
+#include "core/consensus/repair.hpp"
+#include "core/operations/operate.hpp"
 
 namespace weldsail {
 
--- a/src/core/register.cpp
+++ b/src/core/consensus/register.cpp
@@ -1,4 +1,4 @@
-#include "core/register.hpp"
+#include "core/consensus/register.hpp"
 
 #include <algorithm>
 
--- a/src/core/register.hpp
+++ b/src/core/consensus/register.hpp
@@ -2,7 +2,7 @@
 #include <optional>
 #include <set>
 
-#include "core/acceptor.hpp"
+#include "core/consensus/acceptor.hpp"
 
 namespace weldsail {
 
--- a/src/core/repair.cpp
+++ b/src/core/consensus/repair.cpp
@@ -1,4 +1,4 @@
-#include "core/repair.hpp"
+#include "core/consensus/repair.hpp"
 
 #include <algorithm>
 
--- a/src/core/repair.hpp
+++ b/src/core/consensus/repair.hpp
@@ -1,7 +1,7 @@
 #pragma once
-#include "core/duty.hpp"
-#include "core/formation.hpp"
-#include "core/vote.hpp"
+#include "core/consensus/duty.hpp"
+#include "core/consensus/formation.hpp"
+#include "core/consensus/vote.hpp"
 
 namespace weldsail {
 
--- a/src/core/vote.cpp
+++ b/src/core/consensus/vote.cpp
@@ -1,4 +1,4 @@
-#include "core/vote.hpp"
+#include "core/consensus/vote.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "core/config/pathduty.hpp"
+#include "core/configuration/pathduty.hpp"
 #include "core/json.hpp"
 
 namespace weldsail {
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -1,14 +1,14 @@
 #pragma once
-#include "core/configduty.hpp"
-#include "core/contacts.hpp"
+#include "core/configuration/configduty.hpp"
+#include "core/configuration/news.hpp"
+#include "core/consensus/recover.hpp"
+#include "core/consensus/repair.hpp"
+#include "core/consensus/vote.hpp"
 #include "core/dialect.hpp"
 #include "core/limits.hpp"
-#include "core/news.hpp"
-#include "core/placing/placing.hpp"
-#include "core/recover.hpp"
-#include "core/repair.hpp"
-#include "core/steward.hpp"
-#include "core/vote.hpp"
+#include "core/membership/contacts.hpp"
+#include "core/placement/placing.hpp"
+#include "core/placement/steward.hpp"
 
 namespace weldsail {
 
--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "core/carry/path.hpp"
+#include "core/forwarding/paths/path.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/data.hpp
+++ b/src/core/data.hpp
@@ -1,16 +1,16 @@
 #pragma once
-#include "core/attempt.hpp"
-#include "core/budget.hpp"
-#include "core/carry/state.hpp"
-#include "core/claim.hpp"
-#include "core/hold.hpp"
-#include "core/memo.hpp"
-#include "core/news.hpp"
-#include "core/operate.hpp"
-#include "core/prefix.hpp"
-#include "core/scaler.hpp"
-#include "core/stream.hpp"
-#include "core/worker.hpp"
+#include "core/configuration/memo.hpp"
+#include "core/configuration/news.hpp"
+#include "core/consensus/claim.hpp"
+#include "core/forwarding/attempt.hpp"
+#include "core/forwarding/paths/state.hpp"
+#include "core/forwarding/prefix.hpp"
+#include "core/forwarding/stream.hpp"
+#include "core/operations/operate.hpp"
+#include "core/overload/budget.hpp"
+#include "core/overload/hold.hpp"
+#include "core/placement/scaler.hpp"
+#include "core/placement/worker.hpp"
 
 namespace weldsail {
 
--- a/src/core/dialect.hpp
+++ b/src/core/dialect.hpp
@@ -3,7 +3,7 @@
 #include <expected>
 #include <optional>
 
-#include "core/config/paths.hpp"
+#include "core/configuration/paths.hpp"
 #include "core/effect.hpp"
 
 namespace weldsail {
--- a/src/core/assign.cpp
+++ b/src/core/forwarding/assign.cpp
@@ -2,8 +2,8 @@
 #include <cmath>
 
 #include "core/data.hpp"
-#include "core/placer.hpp"
-#include "core/rendezvous.hpp"
+#include "core/membership/rendezvous.hpp"
+#include "core/placement/placer.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/attempt.cpp
+++ b/src/core/forwarding/attempt.cpp
@@ -1,4 +1,4 @@
-#include "core/attempt.hpp"
+#include "core/forwarding/attempt.hpp"
 
 #include <algorithm>
 
--- a/src/core/attempt.hpp
+++ b/src/core/forwarding/attempt.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "core/config.hpp"
+#include "core/configuration/config.hpp"
 
 namespace weldsail {
 
--- a/src/core/carryend.cpp
+++ b/src/core/forwarding/carryend.cpp
@@ -1,6 +1,6 @@
 #include "core/data.hpp"
 #include "core/json.hpp"
-#include "core/rendezvous.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/outcome.cpp
+++ b/src/core/forwarding/outcome.cpp
@@ -1,4 +1,4 @@
-#include "core/outcome.hpp"
+#include "core/forwarding/outcome.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/carry/call.cpp
+++ b/src/core/forwarding/paths/call.cpp
@@ -1,9 +1,9 @@
-#include "core/carry/call.hpp"
+#include "core/forwarding/paths/call.hpp"
 
 #include <algorithm>
 #include <charconv>
 
-#include "core/rendezvous.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/carry/call.hpp
+++ b/src/core/forwarding/paths/call.hpp
@@ -5,7 +5,7 @@
 
 #include "core/dialect.hpp"
 #include "core/limits.hpp"
-#include "core/scaler.hpp"
+#include "core/placement/scaler.hpp"
 
 namespace weldsail {
 
--- a/src/core/carry/choose.cpp
+++ b/src/core/forwarding/paths/choose.cpp
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <cmath>
 
-#include "core/carry/path.hpp"
-#include "core/rendezvous.hpp"
+#include "core/forwarding/paths/path.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/carry/move.cpp
+++ b/src/core/forwarding/paths/move.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 
-#include "core/carry/path.hpp"
-#include "core/rendezvous.hpp"
+#include "core/forwarding/paths/path.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/carry/pipe.cpp
+++ b/src/core/forwarding/paths/pipe.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "core/carry/path.hpp"
+#include "core/forwarding/paths/path.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/carry/state.hpp
+++ b/src/core/forwarding/paths/state.hpp
@@ -1,7 +1,7 @@
 #pragma once
-#include "core/carry/call.hpp"
-#include "core/fleet/listing.hpp"
-#include "core/fleet/view.hpp"
+#include "core/forwarding/paths/call.hpp"
+#include "core/placement/listing.hpp"
+#include "core/placement/view.hpp"
 
 namespace weldsail {
 
--- a/src/core/prefix.cpp
+++ b/src/core/forwarding/prefix.cpp
@@ -1,6 +1,6 @@
-#include "core/prefix.hpp"
+#include "core/forwarding/prefix.hpp"
 
-#include "core/rendezvous.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 
--- a/src/core/stream.cpp
+++ b/src/core/forwarding/stream.cpp
@@ -1,4 +1,4 @@
-#include "core/stream.hpp"
+#include "core/forwarding/stream.hpp"
 
 #include "core/json.hpp"
 
--- a/src/core/contacts.cpp
+++ b/src/core/membership/contacts.cpp
@@ -1,4 +1,4 @@
-#include "core/contacts.hpp"
+#include "core/membership/contacts.hpp"
 
 #include <algorithm>
 #include <sstream>
--- a/src/core/gossip.cpp
+++ b/src/core/membership/gossip.cpp
@@ -1,9 +1,9 @@
-#include "core/gossip.hpp"
+#include "core/membership/gossip.hpp"
 
 #include <algorithm>
 #include <bit>
 
-#include "core/rendezvous.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/gossip.hpp
+++ b/src/core/membership/gossip.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "core/member.hpp"
+#include "core/membership/member.hpp"
 
 namespace weldsail {
 
--- a/src/core/member.cpp
+++ b/src/core/membership/member.cpp
@@ -1,10 +1,10 @@
-#include "core/member.hpp"
+#include "core/membership/member.hpp"
 
 #include <algorithm>
 #include <set>
 
-#include "core/gossip.hpp"
-#include "core/rendezvous.hpp"
+#include "core/membership/gossip.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/memberview.cpp
+++ b/src/core/membership/memberview.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "core/member.hpp"
+#include "core/membership/member.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/rendezvous.cpp
+++ b/src/core/membership/rendezvous.cpp
@@ -1,4 +1,4 @@
-#include "core/rendezvous.hpp"
+#include "core/membership/rendezvous.hpp"
 
 #include <algorithm>
 
--- a/src/core/operate.cpp
+++ b/src/core/operations/operate.cpp
@@ -1,10 +1,10 @@
-#include "core/operate.hpp"
+#include "core/operations/operate.hpp"
 
 #include <algorithm>
 
-#include "core/config.hpp"
+#include "core/configuration/config.hpp"
 #include "core/json.hpp"
-#include "core/rendezvous.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/operate.hpp
+++ b/src/core/operations/operate.hpp
@@ -1,6 +1,6 @@
 #pragma once
-#include "core/config.hpp"
-#include "core/duty.hpp"
+#include "core/configuration/config.hpp"
+#include "core/consensus/duty.hpp"
 
 namespace weldsail {
 
--- a/src/core/hold.cpp
+++ b/src/core/overload/hold.cpp
@@ -1,4 +1,4 @@
-#include "core/hold.hpp"
+#include "core/overload/hold.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/placing/adapters.cpp
+++ b/src/core/placement/adapters.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "core/placing/plan.hpp"
+#include "core/placement/plan.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/band.cpp
+++ b/src/core/placement/band.cpp
@@ -1,6 +1,6 @@
 #include <cmath>
 
-#include "core/config.hpp"
+#include "core/configuration/config.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/placing/book.cpp
+++ b/src/core/placement/book.cpp
@@ -1,4 +1,4 @@
-#include "core/placing/book.hpp"
+#include "core/placement/book.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/placing/book.hpp
+++ b/src/core/placement/book.hpp
@@ -1,7 +1,7 @@
 #pragma once
-#include "core/demand.hpp"
 #include "core/dialect.hpp"
 #include "core/limits.hpp"
+#include "core/placement/demand.hpp"
 
 namespace weldsail {
 
--- a/src/core/placing/command.cpp
+++ b/src/core/placement/command.cpp
@@ -1,4 +1,4 @@
-#include "core/placing/command.hpp"
+#include "core/placement/command.hpp"
 
 #include <algorithm>
 
--- a/src/core/placing/command.hpp
+++ b/src/core/placement/command.hpp
@@ -1,6 +1,6 @@
 #pragma once
-#include "core/placing/book.hpp"
-#include "core/placing/store.hpp"
+#include "core/placement/book.hpp"
+#include "core/placement/store.hpp"
 
 namespace weldsail {
 
--- a/src/core/placing/counts.cpp
+++ b/src/core/placement/counts.cpp
@@ -1,4 +1,4 @@
-#include "core/placing/counts.hpp"
+#include "core/placement/counts.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/placing/counts.hpp
+++ b/src/core/placement/counts.hpp
@@ -1,6 +1,6 @@
 #pragma once
-#include "core/placing/plan.hpp"
-#include "core/scaler.hpp"
+#include "core/placement/plan.hpp"
+#include "core/placement/scaler.hpp"
 
 namespace weldsail {
 
--- a/src/core/decision.hpp
+++ b/src/core/placement/decision.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "core/steward.hpp"
+#include "core/placement/steward.hpp"
 
 namespace weldsail {
 
--- a/src/core/demand.cpp
+++ b/src/core/placement/demand.cpp
@@ -1,4 +1,4 @@
-#include "core/demand.hpp"
+#include "core/placement/demand.hpp"
 
 #include <algorithm>
 #include <limits>
--- a/src/core/demand.hpp
+++ b/src/core/placement/demand.hpp
@@ -1,6 +1,6 @@
 #pragma once
-#include "core/member.hpp"
-#include "core/placer.hpp"
+#include "core/membership/member.hpp"
+#include "core/placement/placer.hpp"
 
 namespace weldsail {
 
--- a/src/core/placing/describe.cpp
+++ b/src/core/placement/describe.cpp
@@ -1,5 +1,5 @@
 #include "core/json.hpp"
-#include "core/placing/placing.hpp"
+#include "core/placement/placing.hpp"
 
 namespace weldsail {
 
--- a/src/core/placing/enact.cpp
+++ b/src/core/placement/enact.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <limits>
 
-#include "core/placing/placing.hpp"
+#include "core/placement/placing.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/placing/fit.cpp
+++ b/src/core/placement/fit.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <limits>
 
-#include "core/placing/plan.hpp"
+#include "core/placement/plan.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/fleet/listing.cpp
+++ b/src/core/placement/listing.cpp
@@ -1,4 +1,4 @@
-#include "core/fleet/listing.hpp"
+#include "core/placement/listing.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/core/fleet/listing.hpp
+++ b/src/core/placement/listing.hpp
@@ -1,7 +1,7 @@
 #pragma once
 #include "core/dialect.hpp"
 #include "core/limits.hpp"
-#include "core/worker.hpp"
+#include "core/placement/worker.hpp"
 
 namespace weldsail {
 
--- a/src/core/orders.cpp
+++ b/src/core/placement/orders.cpp
@@ -1,4 +1,4 @@
-#include "core/orders.hpp"
+#include "core/placement/orders.hpp"
 
 #include <algorithm>
 
--- a/src/core/orders.hpp
+++ b/src/core/placement/orders.hpp
@@ -1,6 +1,6 @@
 #pragma once
-#include "core/placer.hpp"
-#include "core/pulls.hpp"
+#include "core/placement/placer.hpp"
+#include "core/placement/pulls.hpp"
 
 namespace weldsail {
 
--- a/src/core/placer.cpp
+++ b/src/core/placement/placer.cpp
@@ -1,4 +1,4 @@
-#include "core/placer.hpp"
+#include "core/placement/placer.hpp"
 
 #include <algorithm>
 #include <limits>
--- a/src/core/placer.hpp
+++ b/src/core/placement/placer.hpp
@@ -1,7 +1,7 @@
 #pragma once
-#include "core/config.hpp"
-#include "core/scaler.hpp"
-#include "core/worker.hpp"
+#include "core/configuration/config.hpp"
+#include "core/placement/scaler.hpp"
+#include "core/placement/worker.hpp"
 
 namespace weldsail {
 
--- a/src/core/placing/placing.cpp
+++ b/src/core/placement/placing.cpp
@@ -1,4 +1,4 @@
-#include "core/placing/placing.hpp"
+#include "core/placement/placing.hpp"
 
 #include <algorithm>
 
--- a/src/core/placing/placing.hpp
+++ b/src/core/placement/placing.hpp
@@ -1,8 +1,8 @@
 #pragma once
-#include "core/fleet/listing.hpp"
-#include "core/fleet/view.hpp"
-#include "core/placing/command.hpp"
-#include "core/placing/counts.hpp"
+#include "core/placement/command.hpp"
+#include "core/placement/counts.hpp"
+#include "core/placement/listing.hpp"
+#include "core/placement/view.hpp"
 
 namespace weldsail {
 
--- a/src/core/placing/plan.cpp
+++ b/src/core/placement/plan.cpp
@@ -1,4 +1,4 @@
-#include "core/placing/plan.hpp"
+#include "core/placement/plan.hpp"
 
 #include <algorithm>
 
--- a/src/core/placing/plan.hpp
+++ b/src/core/placement/plan.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "core/placing/book.hpp"
+#include "core/placement/book.hpp"
 
 namespace weldsail {
 
--- a/src/core/pulls.cpp
+++ b/src/core/placement/pulls.cpp
@@ -1,4 +1,4 @@
-#include "core/pulls.hpp"
+#include "core/placement/pulls.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/pulls.hpp
+++ b/src/core/placement/pulls.hpp
@@ -1,7 +1,7 @@
 #pragma once
 #include <deque>
 
-#include "core/worker.hpp"
+#include "core/placement/worker.hpp"
 
 namespace weldsail {
 
--- a/src/core/scaler.cpp
+++ b/src/core/placement/scaler.cpp
@@ -1,4 +1,4 @@
-#include "core/scaler.hpp"
+#include "core/placement/scaler.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/scaler.hpp
+++ b/src/core/placement/scaler.hpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-#include "core/config.hpp"
+#include "core/configuration/config.hpp"
 
 namespace weldsail {
 
--- a/src/core/steward.cpp
+++ b/src/core/placement/steward.cpp
@@ -1,4 +1,4 @@
-#include "core/decision.hpp"
+#include "core/placement/decision.hpp"
 
 #include <algorithm>
 
--- a/src/core/steward.hpp
+++ b/src/core/placement/steward.hpp
@@ -1,8 +1,8 @@
 #pragma once
-#include "core/demand.hpp"
-#include "core/orders.hpp"
-#include "core/platform.hpp"
-#include "core/register.hpp"
+#include "core/consensus/register.hpp"
+#include "core/placement/demand.hpp"
+#include "core/placement/orders.hpp"
+#include "core/placement/workerlist.hpp"
 
 namespace weldsail {
 
--- a/src/core/placing/store.cpp
+++ b/src/core/placement/store.cpp
@@ -1,4 +1,4 @@
-#include "core/placing/store.hpp"
+#include "core/placement/store.hpp"
 
 #include <algorithm>
 
--- a/src/core/fleet/view.cpp
+++ b/src/core/placement/view.cpp
@@ -1,4 +1,4 @@
-#include "core/fleet/view.hpp"
+#include "core/placement/view.hpp"
 
 #include <algorithm>
 
--- a/src/core/fleet/view.hpp
+++ b/src/core/placement/view.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "core/duty.hpp"
+#include "core/consensus/duty.hpp"
 
 namespace weldsail {
 
--- a/src/core/wanted.cpp
+++ b/src/core/placement/wanted.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "core/orders.hpp"
+#include "core/placement/orders.hpp"
 
 namespace weldsail {
 namespace {
--- a/src/core/worker.cpp
+++ b/src/core/placement/worker.cpp
@@ -1,4 +1,4 @@
-#include "core/worker.hpp"
+#include "core/placement/worker.hpp"
 
 #include "core/json.hpp"
 
--- a/src/core/platform.cpp
+++ b/src/core/placement/workerlist.cpp
@@ -1,4 +1,4 @@
-#include "core/platform.hpp"
+#include "core/placement/workerlist.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/core/platform.hpp
+++ b/src/core/placement/workerlist.hpp
@@ -1,5 +1,5 @@
 #pragma once
-#include "core/worker.hpp"
+#include "core/placement/worker.hpp"
 
 namespace weldsail {
 
--- a/src/shell/address.hpp
+++ b/src/shell/address.hpp
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "core/outcome.hpp"
+#include "core/forwarding/outcome.hpp"
 
 namespace weldsail {
 
--- a/src/shell/commonflags.hpp
+++ b/src/shell/commonflags.hpp
@@ -1,7 +1,7 @@
 #pragma once
 #include <tclap/CmdLine.h>
 
-#include "core/member.hpp"
+#include "core/membership/member.hpp"
 #include "shell/node.hpp"
 #include "shell/options.hpp"
 #include "shell/process.hpp"
--- a/src/shell/deployment.hpp
+++ b/src/shell/deployment.hpp
@@ -6,7 +6,7 @@
 
 #include "core/dialect.hpp"
 #include "core/limits.hpp"
-#include "core/member.hpp"
+#include "core/membership/member.hpp"
 
 namespace weldsail {
 
--- a/src/shell/options.hpp
+++ b/src/shell/options.hpp
@@ -2,7 +2,7 @@
 #include <string>
 #include <vector>
 
-#include "core/outcome.hpp"
+#include "core/forwarding/outcome.hpp"
 
 namespace weldsail {
 
--- a/src/shell/server.hpp
+++ b/src/shell/server.hpp
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "core/effect.hpp"
-#include "core/outcome.hpp"
+#include "core/forwarding/outcome.hpp"
 #include "shell/address.hpp"
 #include "shell/loop.hpp"
 
--- a/src/wsctl/main.cpp
+++ b/src/wsctl/main.cpp
@@ -4,7 +4,7 @@
 #include <iostream>
 #include <sstream>
 
-#include "core/operate.hpp"
+#include "core/operations/operate.hpp"
 #include "shell/options.hpp"
 #include "wsctl/runbook.hpp"
 
--- a/src/wsctl/words.cpp
+++ b/src/wsctl/words.cpp
@@ -4,7 +4,7 @@
 #include <sstream>
 
 #include "core/json.hpp"
-#include "core/operate.hpp"
+#include "core/operations/operate.hpp"
 #include "shell/ask.hpp"
 
 namespace weldsail {
--- a/test/sim/backchecks.cpp
+++ b/test/sim/backchecks.cpp
@@ -1,6 +1,6 @@
 #include "sim/backchecks.hpp"
 
-#include "core/register.hpp"
+#include "core/consensus/register.hpp"
 
 namespace weldsail::sim {
 
--- a/test/sim/fleet.cpp
+++ b/test/sim/fleet.cpp
@@ -1,7 +1,7 @@
 #include "sim/fleet.hpp"
 
 #include "core/json.hpp"
-#include "core/rendezvous.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail::sim {
 namespace {
--- a/test/sim/placingfleet.hpp
+++ b/test/sim/placingfleet.hpp
@@ -1,7 +1,7 @@
 #pragma once
 #include <memory>
 
-#include "core/fleet/view.hpp"
+#include "core/placement/view.hpp"
 #include "sim/simworkers.hpp"
 
 namespace weldsail::sim {
--- a/test/tools/backmodel.cpp
+++ b/test/tools/backmodel.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 
+#include "core/forwarding/prefix.hpp"
 #include "core/json.hpp"
-#include "core/operate.hpp"
-#include "core/prefix.hpp"
+#include "core/operations/operate.hpp"
 
 namespace weldsail {
 namespace {
--- a/test/unit/configuration.cpp
+++ b/test/unit/configuration.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "core/config/pathduty.hpp"
+#include "core/configuration/pathduty.hpp"
 #include "core/json.hpp"
 #include "platform/dialect.hpp"
 
--- a/test/unit/listing.cpp
+++ b/test/unit/listing.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
-#include "core/fleet/listing.hpp"
-#include "core/fleet/view.hpp"
+#include "core/placement/listing.hpp"
+#include "core/placement/view.hpp"
 #include "platform/fleet.hpp"
 
 using namespace weldsail;
--- a/test/unit/parts.cpp
+++ b/test/unit/parts.cpp
@@ -9,10 +9,10 @@
 #include <fstream>
 #include <sstream>
 
-#include "core/attempt.hpp"
-#include "core/budget.hpp"
 #include "core/control.hpp"
-#include "core/stream.hpp"
+#include "core/forwarding/attempt.hpp"
+#include "core/forwarding/stream.hpp"
+#include "core/overload/budget.hpp"
 #include "shell/disk.hpp"
 
 using namespace weldsail;
--- a/test/unit/pathcarry.cpp
+++ b/test/unit/pathcarry.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "core/carry/path.hpp"
+#include "core/forwarding/paths/path.hpp"
 #include "platform/dialect.hpp"
 
 using namespace weldsail;
--- a/test/unit/pathplain.cpp
+++ b/test/unit/pathplain.cpp
@@ -2,7 +2,7 @@
 
 #include <random>
 
-#include "core/carry/call.hpp"
+#include "core/forwarding/paths/call.hpp"
 
 using namespace weldsail;
 
--- a/test/unit/placingplan.cpp
+++ b/test/unit/placingplan.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
-#include "core/placing/counts.hpp"
-#include "core/placing/store.hpp"
+#include "core/placement/counts.hpp"
+#include "core/placement/store.hpp"
 #include "sim/simworkers.hpp"
 
 using namespace weldsail;
--- a/test/unit/scaler.cpp
+++ b/test/unit/scaler.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "core/decision.hpp"
+#include "core/placement/decision.hpp"
 #include "sim/world.hpp"
 #include "unit/scalermodel.hpp"
 
--- a/test/unit/scalermodel.hpp
+++ b/test/unit/scalermodel.hpp
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <vector>
 
-#include "core/scaler.hpp"
+#include "core/placement/scaler.hpp"
 
 namespace weldsail::plain {
 
