--- a/src/core/configuration/configduty.cpp
+++ b/src/core/configuration/configduty.cpp
@@ -1,5 +1,6 @@
 #include "core/configuration/configduty.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 #include "core/configuration/config.hpp"
@@ -10,7 +11,8 @@
 namespace weldsail {
 namespace {
 
-constexpr int history_limit = 256;
+/// Most changes that the history lists.
+constexpr std::size_t history_limit = 256;
 
 const wire::Change* find_change(const wire::ConfigValue& value, const std::string& change) {
   for (const auto& item : value.history())
@@ -18,9 +20,9 @@
   return nullptr;
 }
 
-std::string accepted_text(const wire::Change& change) {
+std::string accepted_text(const std::string& change, std::uint64_t version) {
   JsonText text;
-  text.object().field("outcome", "accepted").number("version", change.version()).field("change", change.id()).close();
+  text.object().field("outcome", "accepted").number("version", version).field("change", change).close();
   return text.text();
 }
 
@@ -63,7 +65,7 @@
   } else if (path.starts_with(changes)) {
     const auto* found = find_change(state.current, path.substr(changes.size()));
     if (found != nullptr)
-      operate_answer(member, job.asker, 200, accepted_text(*found), effects, version);
+      operate_answer(member, job.asker, 200, accepted_text(found->id(), found->version()), effects, version);
     else
       operate_refuse(member, job.asker, 404, "not_seen", "unknown", path.substr(changes.size()), effects);
   } else {
@@ -76,23 +78,51 @@
          (operation.method() == "POST" && operation.path() == "/v1/config/change");
 }
 
+/// The number that changes are built on: the operator's own where documents have one, else the register's version.
+std::uint64_t current_number(const ConfigDutyState& state) {
+  return state.dialect != nullptr ? state.revision : state.current.version();
+}
+
 void propose(ConfigDutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
              ConfigJob job, const std::string& document, Moment now, Effects& effects) {
   const auto& operation = job.operation;
   auto next = state.current;
   next.set_version(owner.version + 1);
   next.set_document(document);
+  const auto number = state.dialect != nullptr ? state.dialect->read_config(document).config.revision : next.version();
+  taken_add(*next.mutable_taken(), {job.fingerprint, current_number(state), number}, state.remembered);
   auto* change = next.add_history();
   change->set_id(operation.change());
   change->set_version(next.version());
   change->set_digest(std::to_string(digest(document)));
   change->set_bytes(document.size());
-  if (next.history_size() > history_limit) next.mutable_history()->DeleteSubrange(0, 1);
+  const auto listed = static_cast<int>(std::min(history_limit, state.remembered));
+  if (next.history_size() > listed) next.mutable_history()->DeleteSubrange(0, next.history_size() - listed);
   note(effects, "config.propose", {{"version", std::to_string(next.version())}, {"change", operation.change()}});
   register_propose(owner, member, core, next.SerializeAsString(), now, effects);
   state.under_way = std::move(job);
 }
 
+/// Version of a change that was taken, by its fingerprint or, where a former release took it, by its identity.
+std::optional<std::uint64_t> taken_version(const ConfigDutyState& state, const ConfigJob& job) {
+  const auto& value = state.current;
+  const auto* listed = find_change(value, job.operation.change());
+  if (const auto since = taken_find(value.taken(), job.fingerprint))
+    return listed != nullptr ? listed->version() : value.version() - *since;
+  const auto covered = taken_complete(value.taken(), current_number(state)) ? taken_count(value.taken()) : 0;
+  if (listed != nullptr && listed->version() + covered <= value.version()) return listed->version();
+  return std::nullopt;
+}
+
+/// True when a change may be one that was taken longer ago than is remembered.
+bool may_be_forgotten(const ConfigDutyState& state, const ConfigJob& job) {
+  const auto base = read_base(job.operation.base());
+  const auto number = current_number(state);
+  const bool all_listed = static_cast<std::uint64_t>(state.current.history_size()) == state.current.version();
+  if (!base || all_listed) return false;
+  return *base < (taken_complete(state.current.taken(), number) ? state.current.taken().first_base() : number);
+}
+
 /// False while a refusal waits for the proof that this node still is the owner.
 bool begin_paths(ConfigDutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
                  const ConfigJob& job, Moment now, Effects& effects) {
@@ -110,8 +140,13 @@
 bool begin_change(ConfigDutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
                   const ConfigJob& job, Moment now, Effects& effects) {
   const auto& operation = job.operation;
-  if (const auto* known = find_change(state.current, operation.change())) {
-    operate_answer(member, job.asker, 200, accepted_text(*known), effects, std::to_string(known->version()));
+  if (const auto version = taken_version(state, job)) {
+    operate_answer(member, job.asker, 200, accepted_text(operation.change(), *version), effects,
+                   std::to_string(*version));
+    return true;
+  }
+  if (may_be_forgotten(state, job)) {
+    operate_refuse(member, job.asker, 504, "change_forgotten", "unknown", operation.change(), effects);
     return true;
   }
   if (state.dialect != nullptr) return begin_paths(state, member, core, owner, job, now, effects);
@@ -120,7 +155,8 @@
     operate_refuse(member, job.asker, 400, "base_missing", "refused", operation.change(), effects);
     return true;
   }
-  if (*base != state.current.version()) {
+  if (*base != state.current.version() || find_change(state.current, operation.change()) != nullptr) {
+    if (owner.confirmed < job.arrived) return false;
     operate_answer(member, job.asker, 409, conflict_text(job, state.current.version()), effects,
                    std::to_string(state.current.version()));
     return true;
@@ -153,6 +189,7 @@
 }
 
 void config_take(ConfigDutyState& state, ConfigJob job) {
+  if (changes_path(job.operation)) job.fingerprint = change_fingerprint(job.operation, state.dialect != nullptr);
   (changes_path(job.operation) ? state.changes : state.reads).push_back(std::move(job));
 }
 
@@ -174,7 +211,7 @@
   note(effects, "config.accepted", {{"version", std::to_string(state.current.version())}});
   if (!state.under_way) return;
   if (const auto* change = find_change(state.current, state.under_way->operation.change()))
-    operate_answer(member, state.under_way->asker, 200, accepted_text(*change), effects,
+    operate_answer(member, state.under_way->asker, 200, accepted_text(change->id(), change->version()), effects,
                    std::to_string(change->version()));
   state.under_way.reset();
 }
--- a/src/core/configuration/configduty.hpp
+++ b/src/core/configuration/configduty.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include <deque>
 
+#include "core/configuration/takenchanges.hpp"
 #include "core/dialect.hpp"
 #include "core/operations/operate.hpp"
 
@@ -11,6 +12,8 @@
   Asker asker;
   wire::Operate operation;
   Moment arrived = 0;
+  /// Of a change; empty for a read.
+  std::string fingerprint;
 };
 
 /// The configuration owner's state.
@@ -23,6 +26,8 @@
   const Dialect* dialect = nullptr;
   /// The operator's number of the current document, where the dialect's documents have one.
   std::uint64_t revision = 0;
+  /// Changes by which repeats are recognised; older ones are left unclear.
+  std::size_t remembered = remembered_changes;
 };
 
 /// Takes the value that the owner holds now.
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -185,6 +185,7 @@
   state.repair.target = options.core_target;
   state.repair.replace_after = options.replace_after;
   state.config_duty.dialect = options.dialect;
+  state.config_duty.remembered = options.remembered;
   if (options.dialect != nullptr) state.operate.patience = bound / asks_per_bound;
   state.recover.bound = state.duty.bound = state.repair.bound = state.vote.bound = state.news.bound =
       state.operate.bound = state.steward.bound = state.placing.bound = bound;
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -27,6 +27,8 @@
   std::string platform;
   Moment platform_pace = 5000;
   Moment claims_kept = vote_kept;
+  /// Changes by which repeats are recognised.
+  std::size_t remembered = remembered_changes;
   /// How the outside speaks; null for the product's own interface.
   const Dialect* dialect = nullptr;
   Limits limits;
--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -79,7 +79,7 @@
   if (*key == core_key)
     control_operate_core(state, asker, operation, effects);
   else if (*key == config_key)
-    config_take(state.config_duty, {asker, operation, now});
+    config_take(state.config_duty, {asker, operation, now, {}});
   else
     control_operate_placement(state, asker, operation, now, effects);
 }
--- a/test/sim/scenarios.hpp
+++ b/test/sim/scenarios.hpp
@@ -42,4 +42,7 @@
 /// Models placed on stand-in workers of a platform by one holder count each, under every kind of trouble.
 ScenarioResult run_placing(std::uint64_t seed);
 
+/// Racing changes, repeats and lost answers while the processes that take them come to grief.
+ScenarioResult run_one_number(std::uint64_t seed);
+
 }  // namespace weldsail::sim
