--- a/test/sim/scenarios.hpp
+++ b/test/sim/scenarios.hpp
@@ -45,4 +45,7 @@
 /// Racing changes, repeats and lost answers while the processes that take them come to grief.
 ScenarioResult run_one_number(std::uint64_t seed);
 
+/// Bytes and processor time of a change, by routes, changes recorded and the record's layout; any seed gives the same.
+ScenarioResult run_change_cost(std::uint64_t seed);
+
 }  // namespace weldsail::sim
--- a/test/wssim/main.cpp
+++ b/test/wssim/main.cpp
@@ -38,6 +38,7 @@
       {"hard", weldsail::sim::run_hard},
       {"placing", weldsail::sim::run_placing},
       {"onenumber", weldsail::sim::run_one_number},
+      {"changecost", weldsail::sim::run_change_cost},
   };
   TCLAP::CmdLine line("wssim: seeded runs of whole fleets on virtual clocks, networks and disks", ' ', "0.1.0");
   TCLAP::ValueArg<std::string> scenario("", "scenario", "which", false, "register", "name", line);
