A change that a process couldn't look at is answered unknown, not refused

Cause: 503 owner_lost, not_owner and no_owner said refused, which docs/api.md means as can never take effect; sent as a repeat, the change may have been taken.

--- a/src/core/configuration/configduty.cpp
+++ b/src/core/configuration/configduty.cpp
@@ -222,7 +222,8 @@
                    effects);
   state.under_way.reset();
   for (const auto& job : state.changes)
-    operate_refuse(member, job.asker, 503, "owner_lost", "refused", job.operation.change(), effects);
+    operate_refuse(member, job.asker, 503, "owner_lost", operate_unheard(job.operation), job.operation.change(),
+                   effects);
   for (const auto& job : state.reads) operate_refuse(member, job.asker, 503, "owner_lost", "refused", {}, effects);
   state.changes.clear();
   state.reads.clear();
--- a/src/core/configuration/configduty.hpp
+++ b/src/core/configuration/configduty.hpp
@@ -38,7 +38,7 @@
                  Moment now, Effects& effects);
 /// A change has its majority.
 void config_committed(ConfigDutyState& state, const MemberState& member, const RegisterState& owner, Effects& effects);
-/// The key is lost: the change under way is unknown, all others never took effect.
+/// The key is lost: the change under way is unknown, no waiting one took effect by being sent here.
 void config_lost(ConfigDutyState& state, const MemberState& member, Effects& effects);
 
 }  // namespace weldsail
--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -73,7 +73,7 @@
     if (asker.node == 0)
       operate_forward(state.operate, state.member, operation, *key, asker.request, now, effects);
     else
-      operate_refuse(state.member, asker, 503, "not_owner", "refused", operation.change(), effects);
+      operate_refuse(state.member, asker, 503, "not_owner", operate_unheard(operation), operation.change(), effects);
     return;
   }
   if (*key == core_key)
--- a/src/core/operations/operate.cpp
+++ b/src/core/operations/operate.cpp
@@ -57,6 +57,11 @@
   return path.starts_with("/v1/config") ? config_key : placement_key;
 }
 
+std::string operate_unheard(const wire::Operate& operation) {
+  const bool changes = operation.path() == "/v1/config" || operation.path() == "/v1/config/change";
+  return changes && operation.method() != "GET" ? "unknown" : "refused";
+}
+
 std::string header_value(const std::vector<Header>& headers, const std::string& name) {
   const auto found = std::ranges::find(headers, name, &Header::name);
   return found == headers.end() ? std::string() : found->value;
@@ -110,7 +115,7 @@
                      std::uint64_t request, Moment now, Effects& effects) {
   const auto* holder = duty_holder(member, key);
   if (holder == nullptr || holder->node() == member.self.node()) {
-    operate_refuse(member, {request, 0, {}}, 503, "no_owner", "refused", operation.change(), effects);
+    operate_refuse(member, {request, 0, {}}, 503, "no_owner", operate_unheard(operation), operation.change(), effects);
     return;
   }
   const auto identity = state.next++;
--- a/src/core/operations/operate.hpp
+++ b/src/core/operations/operate.hpp
@@ -43,6 +43,9 @@
 /// Answers with an error document; `outcome` is refused, unknown or not_run.
 void operate_refuse(const MemberState& member, const Asker& asker, int status, const std::string& code,
                     const std::string& outcome, const std::string& change, Effects& effects);
+/// Outcome of an operation that this process couldn't look at. A change is never refused by it: an earlier sending of
+/// the same one may have been taken.
+std::string operate_unheard(const wire::Operate& operation);
 /// A document of faults; without any it says that all is valid.
 std::string operate_faults(const std::vector<Fault>& faults, const std::string& change);
 /// Carries an operation to the key's holder.
