--- a/test/unit/onenumber.cpp
+++ b/test/unit/onenumber.cpp
@@ -22,9 +22,9 @@
   }
 
   /// Status of the answer; 0 where there is none yet.
-  int send(const Order& order) { return send(order, 1); }
+  int send(const sim::Order& order) { return send(order, 1); }
 
-  int send(const Order& order, Moment arrived) {
+  int send(const sim::Order& order, Moment arrived) {
     const auto request = order_request(order, dialect);
     const auto call = dialect ? platform_dialect().read_config_call(request) : std::nullopt;
     Effects effects;
@@ -60,8 +60,8 @@
   RegisterState owner;
 };
 
-Order order_on(std::uint64_t base, std::uint64_t number, const std::string& mark) {
-  Order order;
+sim::Order order_on(std::uint64_t base, std::uint64_t number, const std::string& mark) {
+  sim::Order order;
   order.base = base;
   order.number = number;
   order.identity = mark;
