A core process that is told to end votes on until its seat is handed over

Cause: on SIGTERM a core process gave up its keys and was gone a beat later while its seat still counted. With one more loss meanwhile the core had no majority, and what the leaving disk alone held beside the lost one was out of reach.

The holder of the core's key hands its seat over at once.

--- a/src/core/consensus/duty.cpp
+++ b/src/core/consensus/duty.cpp
@@ -14,7 +14,8 @@
                      const wire::Member* silent) {
   std::vector<std::uint64_t> candidates;
   for (const auto* entry : live_members(member, Program::control))
-    if (entry != silent && core_old(core, entry->disk()) && !state.drained.contains(entry->address()))
+    if (entry != silent && !entry->leaving() && core_old(core, entry->disk()) &&
+        !state.drained.contains(entry->address()))
       candidates.push_back(entry->node());
   const auto order = rendezvous_order(digest(key), std::move(candidates));
   return static_cast<std::size_t>(std::ranges::find(order, member.self.node()) - order.begin());
@@ -61,7 +62,7 @@
 bool duty_excluded(const DutyState& state, const MemberState& member, const wire::Core& core) {
   if (!state.drained.contains(member.self.address())) return false;
   return std::ranges::any_of(live_members(member, Program::control), [&](const wire::Member* entry) {
-    return core_old(core, entry->disk()) && !state.drained.contains(entry->address());
+    return core_old(core, entry->disk()) && !entry->leaving() && !state.drained.contains(entry->address());
   });
 }
 
@@ -80,7 +81,8 @@
       return false;
     }
   }
-  if (!core.formed() || !core_old(core, member.self.disk()) || member.leaving) return false;
+  if (!core.formed() || !core_old(core, member.self.disk())) return false;
+  if (member.leaving || member.self.leaving()) return false;
   if (duty_excluded(state, member, core) || !hears_majority(member, core)) return false;
   if (state.behind && now - *state.behind < state.bound) return false;
   const bool all_seen = std::ranges::all_of(
--- a/src/core/consensus/repair.cpp
+++ b/src/core/consensus/repair.cpp
@@ -13,6 +13,11 @@
   return entry != nullptr && entry->state() <= static_cast<std::uint32_t>(MemberPhase::suspect);
 }
 
+bool leaving(const MemberState& member, std::uint64_t disk) {
+  const auto* entry = find_disk(member, disk);
+  return entry != nullptr && entry->leaving();
+}
+
 Moment missing_for(RepairState& state, const MemberState& member, std::uint64_t disk, Moment now) {
   if (present(member, disk)) {
     state.missing_since.erase(disk);
@@ -25,7 +30,7 @@
   auto result = live_members(member, Program::control);
   std::erase_if(result, [&](const wire::Member* entry) {
     return entry->disk() == 0 || entry->cluster() != core.cluster() || core_seat(core, entry->disk()) != 0 ||
-           entry->state() != static_cast<std::uint32_t>(MemberPhase::alive);
+           entry->state() != static_cast<std::uint32_t>(MemberPhase::alive) || entry->leaving();
   });
   return result;
 }
@@ -62,6 +67,17 @@
   return next;
 }
 
+/// A process that was told to end votes on meanwhile, so its seat is handed over at once.
+void begin_handover(const MemberState& member, const FormationState& formation, RegisterState& owner, Moment now,
+                    Effects& effects) {
+  for (const auto& disk : formation.core.disks()) {
+    if (!present(member, disk.disk()) || !leaving(member, disk.disk())) continue;
+    const auto* spare = find_spare(member, formation.core, find_disk(member, disk.disk())->locality());
+    if (spare != nullptr) repair_set(member, formation, owner, disk.disk(), spare->disk(), now, effects);
+    return;
+  }
+}
+
 void begin_replace(RepairState& state, const MemberState& member, const FormationState& formation, RegisterState& owner,
                    Moment now, Effects& effects) {
   const auto& core = formation.core;
@@ -97,28 +113,13 @@
 
 }  // namespace
 
-void repair_merge(AcceptorState& acceptor, VoteState& vote, const wire::CopyAnswer& answer, Moment now) {
-  for (const auto& part : answer.copies()) {
-    auto& copy = acceptor.copies[part.key()];
-    copy.promised = std::max(copy.promised, part.promised());
-    if (std::pair(part.accepted_epoch(), part.version()) <= std::pair(copy.accepted_epoch, copy.version)) continue;
-    copy.accepted_epoch = part.accepted_epoch();
-    copy.version = part.version();
-    copy.value = part.value();
-  }
-  for (const auto& item : answer.votes()) {
-    auto& mine = vote.votes[item.key()];
-    mine.given = now;
-    mine.claimer = mine.claimer.empty() || mine.claimer == item.claimer() ? item.claimer() : "?";
-  }
-}
-
 std::string repair_set(const MemberState& member, const FormationState& formation, RegisterState& owner,
                        std::uint64_t let_go, std::uint64_t take_in, Moment now, Effects& effects) {
   const auto& core = formation.core;
   if (owner.phase != OwnerPhase::holding || owner.proposal || core.next_size() > 0) return "a change is under way";
   if (let_go != 0 && !core_old(core, let_go)) return "let_go names no disk of the core";
-  if (take_in != 0 && (core_old(core, take_in) || !present(member, take_in))) return "take_in names no live spare disk";
+  if (take_in != 0 && (core_old(core, take_in) || !present(member, take_in) || leaving(member, take_in)))
+    return "take_in names no live spare disk";
   auto next = successor(core, owner);
   for (const auto& disk : core.disks())
     if (disk.disk() != let_go) *next.add_next() = disk;
@@ -141,6 +142,7 @@
   if (owner.phase != OwnerPhase::holding || owner.proposal || !core.formed()) return;
   if (core.next_size() == 0) {
     begin_replace(state, member, formation, owner, now, effects);
+    if (!owner.proposal) begin_handover(member, formation, owner, now, effects);
     if (!owner.proposal) begin_growth(state, member, formation, owner, now, effects);
     return;
   }
@@ -156,7 +158,7 @@
     const auto missing = missing_for(state, member, disk.disk(), now);
     const bool emptied = state.replace_after != 0 && find_successor(member, core, disk.disk()) != nullptr;
     const auto wait = state.replace_after != 0 ? state.replace_after : take_back_bounds * state.bound;
-    if (!filled && (emptied || missing > wait)) {
+    if (!filled && (emptied || missing > wait || leaving(member, disk.disk()))) {
       propose(successor(core, owner), member, formation, owner, "take_back", now, effects);
       return;
     }
@@ -167,76 +169,4 @@
   propose(next, member, formation, owner, "let_go", now, effects);
 }
 
-void repair_copy(RepairState& state, const MemberState& member, const FormationState& formation, Moment now,
-                 Effects& effects) {
-  const auto& core = formation.core;
-  const auto tag = core_tag(core);
-  const bool joins = core_coming(core, member.self.disk()) && !core_old(core, member.self.disk());
-  if (!joins || state.committed < tag || CoreTag{member.self.copied_epoch(), member.self.copied_version()} == tag)
-    return;
-  if (state.copying != tag) state.copied_from.clear();
-  state.copying = tag;
-  if (now - state.asked < state.bound / 3) return;
-  state.asked = now;
-  for (const auto& disk : core.disks()) {
-    const auto* entry = find_disk(member, disk.disk());
-    if (entry == nullptr) continue;
-    auto envelope = member_envelope(member, entry->node());
-    envelope.mutable_copy_ask()->set_core_epoch(tag.first);
-    envelope.mutable_copy_ask()->set_core_version(tag.second);
-    effects.push_back(SendMessage{entry->address(), std::move(envelope)});
-  }
-}
-
-void repair_asked(const AcceptorState& acceptor, const VoteState& vote, const MemberState& member,
-                  const wire::Envelope& envelope, Effects& effects) {
-  auto answer = member_envelope(member, envelope.from());
-  auto* content = answer.mutable_copy_answer();
-  content->set_core_epoch(envelope.copy_ask().core_epoch());
-  content->set_core_version(envelope.copy_ask().core_version());
-  for (const auto& [key, copy] : acceptor.copies) {
-    auto* part = content->add_copies();
-    part->set_key(key);
-    part->set_promised(copy.promised);
-    part->set_accepted_epoch(copy.accepted_epoch);
-    part->set_version(copy.version);
-    part->set_value(copy.value);
-  }
-  for (const auto& [key, item] : vote.votes) {
-    auto* part = content->add_votes();
-    part->set_key(key);
-    part->set_claimer(item.claimer);
-  }
-  effects.push_back(SendMessage{envelope.address(), std::move(answer)});
-}
-
-void repair_answered(RepairState& state, AcceptorState& acceptor, VoteState& vote, const FormationState& formation,
-                     const wire::Envelope& envelope, Moment now, Effects& effects) {
-  const auto& answer = envelope.copy_answer();
-  if (CoreTag{answer.core_epoch(), answer.core_version()} != state.copying) return;
-  if (!state.copied_from.insert(envelope.disk()).second) return;
-  repair_merge(acceptor, vote, answer, now);
-  wire::Core old;
-  *old.mutable_disks() = formation.core.disks();
-  if (!core_majority(old, state.copied_from)) return;
-  const auto token = repair_tokens + state.next_token++;
-  auto records = acceptor_records(acceptor);
-  for (auto& record : vote_records(vote)) records.push_back(std::move(record));
-  state.waiting[token] = state.copying;
-  effects.push_back(Persist{token, std::move(records)});
-}
-
-void repair_persisted(RepairState& state, MemberState& member, const Persisted& event) {
-  const auto found = state.waiting.find(event.token);
-  if (found == state.waiting.end()) return;
-  if (event.kept) {
-    member.self.set_copied_epoch(found->second.first);
-    member.self.set_copied_version(found->second.second);
-    member_announce(member);
-  } else {
-    state.copied_from.clear();
-  }
-  state.waiting.erase(found);
-}
-
 }  // namespace weldsail
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -117,6 +117,17 @@
   state.drain_under_way = job.asker;
 }
 
+/// Says farewell once the seat is handed over, and ends a beat later.
+void depart(ControlState& state, Moment now, Effects& effects) {
+  if (state.member.leaving) {
+    if (now >= state.leave_due) effects.push_back(Depart{});
+    return;
+  }
+  if (!departure_due(state.departure, state.member, state.formation.core, now)) return;
+  member_leave(state.member, news_known(state.news), effects);
+  state.leave_due = now + member_beat(state.member);
+}
+
 void on_tick(ControlState& state, const Ticked& event, Moment now, Effects& effects) {
   state.random = event.random;
   const auto known = news_known(state.news);
@@ -144,15 +155,15 @@
   recover_tick(state.recover, control_recovery(state, now), effects);
   if (state.options.dialect != nullptr) placing_tick(state.placing, control_placing(state, now), effects);
   if (state.document) steward_tick(state.steward, steward_context(state, now), effects);
-  if (state.leave_due != 0 && now >= state.leave_due) effects.push_back(Depart{});
+  depart(state, now, effects);
 }
 
 void on_leave(ControlState& state, Moment now, Effects& effects) {
-  if (state.member.leaving) return;
+  if (state.departure.deadline) return;
   for (auto& [key, owner] : state.owners)
     if (owner.phase != OwnerPhase::idle) give_up(state, owner, now, effects);
-  member_leave(state.member, news_known(state.news), effects);
-  state.leave_due = now + member_beat(state.member);
+  departure_begin(state.departure, state.member, now);
+  depart(state, now, effects);
 }
 
 }  // namespace
@@ -184,6 +195,7 @@
   state.formation.founders = options.founders;
   state.repair.target = options.core_target;
   state.repair.replace_after = options.replace_after;
+  state.departure.within = options.leave_within;
   state.config_duty.dialect = options.dialect;
   if (options.dialect != nullptr) state.operate.patience = bound / asks_per_bound;
   state.recover.bound = state.duty.bound = state.repair.bound = state.vote.bound = state.news.bound =
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include "core/configuration/configduty.hpp"
 #include "core/configuration/news.hpp"
+#include "core/consensus/departure.hpp"
 #include "core/consensus/recover.hpp"
 #include "core/consensus/repair.hpp"
 #include "core/consensus/vote.hpp"
@@ -23,6 +24,8 @@
   std::uint32_t core_target = 0;
   /// Absence after which a spare takes a core disk's place; 0 for five bounds.
   Moment replace_after = 0;
+  /// Longest time that a core process which was told to end goes on voting.
+  Moment leave_within = 10000;
   bool has_disk = true;
   std::string platform;
   Moment platform_pace = 5000;
@@ -57,6 +60,7 @@
   RecoverState recover;
   FormationState formation;
   DutyState duty;
+  DepartureState departure;
   NewsState news;
   OperateState operate;
   ConfigDutyState config_duty;
--- a/src/core/controlview.cpp
+++ b/src/core/controlview.cpp
@@ -95,7 +95,7 @@
       .truth("drained", state.duty.drained.contains(state.member.self.address()));
   text.number("in_hand", state.operate.forwarded.size());
   text.number("orders_sent", state.steward.orders.sent + state.placing.command.sent)
-      .truth("leaving", state.member.leaving)
+      .truth("leaving", state.departure.deadline.has_value())
       .close();
   return text.text();
 }
--- a/src/wscp/main.cpp
+++ b/src/wscp/main.cpp
@@ -20,6 +20,7 @@
     faults.emplace_back("--core-size: must be 0 (never found a core), 1 or from 3 to 9");
   if (chosen.control.core_target > 9) faults.emplace_back("--core-target: must be from 0 to 9");
   if (chosen.control.replace_after < 0) faults.emplace_back("--replace-ms: must not be negative");
+  if (chosen.control.leave_within < 0) faults.emplace_back("--leave-ms: must not be negative");
   if (chosen.control.platform_pace < 100) faults.emplace_back("--platform-pace-ms: must be at least 100");
   if (chosen.control.claims_kept < weldsail::call_due_most)
     faults.emplace_back("--claims-kept-ms: must be at least 600000, the longest due of a call");
@@ -37,6 +38,8 @@
                                         "count", line);
   TCLAP::ValueArg<std::int64_t> replace("", "replace-ms", "absence after which a spare takes a disk's place", false, 0,
                                         "ms", line);
+  TCLAP::ValueArg<std::int64_t> leave("", "leave-ms", "longest time to go on voting after SIGTERM", false, 10000, "ms",
+                                      line);
   TCLAP::ValueArg<std::string> platform("", "platform", "the platform's address", false, "", "ip:port", line);
   TCLAP::ValueArg<std::int64_t> pace("", "platform-pace-ms", "least time between asks", false, 5000, "ms", line);
   TCLAP::ValueArg<std::int64_t> kept("", "claims-kept-ms", "how long an idempotency key is refused", false,
@@ -49,6 +52,7 @@
   if (found.getValue()) chosen.control.founders = chosen.control.member.seeds;
   chosen.control.core_target = target.getValue();
   chosen.control.replace_after = replace.getValue();
+  chosen.control.leave_within = leave.getValue();
   chosen.control.has_disk = !diskless.getValue();
   chosen.control.platform = platform.getValue();
   chosen.control.platform_pace = pace.getValue();
--- a/test/sim/fleet.cpp
+++ b/test/sim/fleet.cpp
@@ -113,6 +113,11 @@
   options.member = {Program::control, address, address, node.locality, seeds, 3000};
   options.core_size = static_cast<std::uint32_t>(plan.core == 0 ? plan.control : plan.core);
   options.has_disk = node.has_disk;
+  for (std::size_t founder = 0; founder < plan.founders; ++founder)
+    options.founders.push_back("cp" + std::to_string(founder + 1));
+  options.core_target = plan.core_target;
+  options.replace_after = plan.replace_after;
+  options.leave_within = plan.leave_within;
   options.platform = "platform";
   options.platform_pace = 4000;
   options.claims_kept = plan.claims_kept;
--- a/test/sim/fleet.hpp
+++ b/test/sim/fleet.hpp
@@ -8,6 +8,12 @@
   std::size_t control = 3;
   /// Control nodes with a disk, which form the core; the others have none. 0 for all.
   std::size_t core = 0;
+  /// Control nodes that found the core by name, which then grows to the target; 0 to found it by number.
+  std::size_t founders = 0;
+  std::uint32_t core_target = 0;
+  /// As the option of the control process.
+  Moment replace_after = 0;
+  Moment leave_within = 10000;
   std::size_t data = 3;
   std::size_t data_folders = 0;
   std::size_t localities = 3;
@@ -37,6 +43,8 @@
   std::unique_ptr<SimBacks> backs;
   std::vector<std::string> controls;
   std::vector<std::string> datas;
+  /// Addresses of processes that were told to leave for good.
+  std::set<std::string> leaving;
   /// A configuration for the fleet; the mark makes it differ from others.
   std::string document(const std::string& mark) const;
   /// The same with many more routes.
--- a/test/sim/scenarios.hpp
+++ b/test/sim/scenarios.hpp
@@ -27,6 +27,9 @@
 /// Core machines replaced by empty ones, one after another, until none of the first remains.
 ScenarioResult run_replace(std::uint64_t seed);
 
+/// A second loss at each step of a change of the core's set, and right after it; then as many as are tolerated at once.
+ScenarioResult run_second_loss(std::uint64_t seed);
+
 /// Holders lost just after a load has gone to a worker that freezes: the store's rate, with two cells on one store.
 ScenarioResult run_takeover(std::uint64_t seed);
 
--- a/test/wssim/main.cpp
+++ b/test/wssim/main.cpp
@@ -1,5 +1,6 @@
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -27,11 +28,17 @@
 int main(int count, char** arguments) {
   using weldsail::sim::ScenarioResult;
   const std::map<std::string, std::function<ScenarioResult(std::uint64_t)>> scenarios{
-      {"register", weldsail::sim::run_register}, {"day", weldsail::sim::run_day},
-      {"replace", weldsail::sim::run_replace},   {"takeover", weldsail::sim::run_takeover},
-      {"tbilisi", weldsail::sim::run_tbilisi},   {"kuusela", weldsail::sim::run_kuusela},
-      {"force", weldsail::sim::run_force},       {"rollout", weldsail::sim::run_rollout},
-      {"hard", weldsail::sim::run_hard},         {"placing", weldsail::sim::run_placing},
+      {"register", weldsail::sim::run_register},
+      {"day", weldsail::sim::run_day},
+      {"replace", weldsail::sim::run_replace},
+      {"takeover", weldsail::sim::run_takeover},
+      {"tbilisi", weldsail::sim::run_tbilisi},
+      {"kuusela", weldsail::sim::run_kuusela},
+      {"force", weldsail::sim::run_force},
+      {"rollout", weldsail::sim::run_rollout},
+      {"secondloss", weldsail::sim::run_second_loss},
+      {"hard", weldsail::sim::run_hard},
+      {"placing", weldsail::sim::run_placing},
   };
   TCLAP::CmdLine line("wssim: seeded runs of whole fleets on virtual clocks, networks and disks", ' ', "0.1.0");
   TCLAP::ValueArg<std::string> scenario("", "scenario", "which", false, "register", "name", line);
@@ -60,9 +67,13 @@
   }
   std::uint64_t failed = 0;
   std::map<std::string, double> sums;
+  std::map<std::string, std::vector<double>> times;
   for (auto seed = first.getValue(); seed < first.getValue() + seeds.getValue(); ++seed) {
     const auto result = found->second(seed);
-    for (const auto& [name, value] : result.figures) sums[name] += value;
+    for (const auto& [name, value] : result.figures) {
+      sums[name] += value;
+      if (name.ends_with("_ms")) times[name].push_back(value);
+    }
     if (result.faults.empty()) continue;
     ++failed;
     std::cout << "seed=" << seed << " faults=" << result.faults.size() << " first=\"" << result.faults.front()
@@ -72,6 +83,10 @@
   }
   std::cout << "scenario=" << scenario.getValue() << " seeds=" << seeds.getValue() << " failed=" << failed;
   for (const auto& [name, value] : sums) std::cout << " " << name << "=" << value;
+  for (auto& [name, values] : times) {
+    std::ranges::sort(values);
+    std::cout << " " << name << "_p50=" << values[values.size() / 2] << " " << name << "_worst=" << values.back();
+  }
   std::cout << "\n";
   return failed == 0 ? 0 : 1;
 }
