Leavers told at one moment end one after another; the scenario reads the newest core

Two processes that were told to leave at once both ended, as neither had heard of the other: a leaving process with a seat now waits a beat first. The scenario took a null core where every live process had accepted an uncommitted one; it crashed, not the product.

--- a/src/core/consensus/departure.cpp
+++ b/src/core/consensus/departure.cpp
@@ -44,6 +44,8 @@
   if (!state.deadline) return false;
   if (now >= *state.deadline) return true;
   if (!core.formed() || member.self.disk() == 0 || core_seat(core, member.self.disk()) == 0) return true;
+  // Others that were told at the same moment are heard of within a beat.
+  if (now - (*state.deadline - state.within) < member_beat(member)) return false;
   if (core.next_size() > 0 || spare_in_sight(member, core)) return false;
   return majority_remains(member, core);
 }
--- a/test/sim/corewatch.cpp
+++ b/test/sim/corewatch.cpp
@@ -118,6 +118,16 @@
   return newest;
 }
 
+wire::Core CoreWatch::newest() const {
+  wire::Core newest;
+  for (const auto& [address, node] : fleet_.world.nodes()) {
+    const auto* state = std::get_if<ControlState>(&node.state);
+    if (state == nullptr || !node.alive || !state->formation.core.formed()) continue;
+    if (core_tag(state->formation.core) > core_tag(newest)) newest = state->formation.core;
+  }
+  return newest;
+}
+
 std::string CoreWatch::address_of(std::uint64_t disk) const {
   for (const auto& [address, node] : fleet_.world.nodes()) {
     const auto* state = std::get_if<ControlState>(&node.state);
--- a/test/sim/corewatch.hpp
+++ b/test/sim/corewatch.hpp
@@ -16,6 +16,8 @@
   void on_step(ChangeStep step, std::function<void()> action);
   /// The newest core whose commit some process knows; null when there is none.
   const wire::Core* committed() const;
+  /// The newest core that some live process counts with, committed or not.
+  wire::Core newest() const;
   /// Address of the live process on a disk, empty when there is none.
   std::string address_of(std::uint64_t disk) const;
   /// Address of the process whose disk a change is taking in, from its proposal on; empty when there is none.
