A frame whose first sector was lost is a torn tail; the file code runs on a simulated folder

The disk's file operations can be replaced (FileOperations), and its frames have a file of their own. A simulated folder knows what is durable, loses or fails any operation and tears writes by sectors; a plain map of what was synced is compared with what the real file code reads back after a loss of power, or a failure, at each operation.

Cause: a loss of power may keep a later sector of the last frame and lose the one with its header. The start took that for damage and refused, until the disk was emptied. Such a header, with a sector of zeros and no whole header behind it, is a torn tail now. A flipped bit in a header leaves no sector of zeros and still refuses the start.

Red without it: "a sector lost from the last frame's header is a torn tail, one lost before it is damage".

--- a/src/shell/disk.hpp
+++ b/src/shell/disk.hpp
@@ -5,36 +5,46 @@
 #include <vector>
 
 #include "core/effect.hpp"
-#include "core/forwarding/outcome.hpp"
+#include "shell/diskframe.hpp"
+#include "shell/fileoperations.hpp"
 #include "shell/loop.hpp"
 
 namespace weldsail {
 
+/// Bytes up to which a file isn't rewritten, however little of it is live.
+inline constexpr std::size_t least_rewritten = 1U << 20U;
+
 /// The file of checksummed frames; used by the disk thread alone once it runs.
 class DiskFile {
  public:
-  DiskFile() = default;
+  explicit DiskFile(FileOperations files = system_file_operations(), std::size_t rewrite_least = least_rewritten)
+      : files_(std::move(files)), rewrite_least_(rewrite_least) {}
   DiskFile(const DiskFile&) = delete;
   DiskFile& operator=(const DiskFile&) = delete;
   ~DiskFile();
   /// Opens or formats the folder and reads its records.
   std::error_code open(const std::string& folder);
-  /// Appends records as one frame and syncs them.
-  std::error_code append(const std::vector<std::pair<std::string, std::string>>& records);
-  const Records& image() const { return image_; }
+  /// Appends records as one frame and syncs them; where it fails they may be there after a restart or not.
+  std::error_code append(const DiskRecords& records);
+  const Records& image() const { return contents_.records; }
   std::size_t syncs() const { return syncs_; }
 
  private:
-  std::error_code read_frames(const std::string& bytes);
+  std::error_code write_group(const std::string& frame);
+  /// Writes the contents into a new file, which then takes the old one's name.
   std::error_code rewrite();
+  std::string state_path() const { return folder_ + "/state"; }
+  std::string rewrite_path() const { return folder_ + "/state.new"; }
+  FileOperations files_;
+  std::size_t rewrite_least_;
   std::string folder_;
   int descriptor_ = -1;
   int lock_ = -1;
+  /// Bytes of the frames that were synced.
   std::size_t size_ = 0;
-  std::size_t live_size_ = 0;
   std::size_t syncs_ = 0;
   bool doubtful_ = false;
-  Records image_;
+  DiskContents contents_;
 };
 
 /// The disk as the loop sees it: hands records to a thread of its own and tells when they are synced.
--- /dev/null
+++ b/test/unit/diskfaults.cpp
@@ -0,0 +1,81 @@
+#include "sim/plaindisk.hpp"
+#include "unit/checks.hpp"
+
+using namespace weldsail;
+using namespace weldsail::sim;
+
+namespace {
+
+constexpr std::size_t sector = 512;
+const std::string state_path = "sim/state";
+
+Group one(const std::string& name, std::size_t bytes, char filling = 'x') {
+  return {{name, std::string(bytes, filling)}};
+}
+
+/// The code that a start on the bytes gives, and whether the records are the ones expected.
+std::error_code start_on(const std::string& bytes, const Records& expected, bool& same) {
+  SimFolder folder(1);
+  folder.set_content(state_path, bytes);
+  DiskFile file(folder.operations());
+  const auto cause = file.open("sim");
+  same = file.image() == expected;
+  return cause;
+}
+
+}  // namespace
+
+TEST_CASE("the file stays within four times its live content, or a mebibyte", "[hardening.long_history]") {
+  for (const std::size_t bytes : {1000, 20000, 200000}) {
+    ModelledDisk disk(5, least_rewritten);
+    REQUIRE(disk.start());
+    const auto live = 3 * (bytes + 20);
+    const auto most = std::max<std::size_t>(1U << 20U, 4 * live);
+    std::size_t largest = 0;
+    for (int number = 0; number < 700; ++number) {
+      REQUIRE(disk.append(one("name" + std::to_string(number % 3), bytes)));
+      largest = std::max(largest, disk.folder.bytes());
+    }
+    CHECK(largest <= most);
+  }
+}
+
+TEST_CASE("a sector lost from the last frame's header is a torn tail, one lost before it is damage",
+          "[hardening.long_history]") {
+  for (std::size_t shift = 0; shift < 2 * sector; shift += 7) {
+    ModelledDisk disk(6);
+    REQUIRE(disk.start());
+    REQUIRE(disk.append(one("first", 500 + shift, 'a')));
+    const auto last = disk.file_bytes();
+    REQUIRE(disk.append(one("second", 3000, 'b')));
+    auto bytes = disk.folder.content(state_path);
+    const auto boundary = (last / sector + 1) * sector;
+    std::fill(bytes.begin() + static_cast<std::ptrdiff_t>(last), bytes.begin() + static_cast<std::ptrdiff_t>(boundary),
+              '\0');
+    bool same = false;
+    INFO("header at " << last);
+    CHECK_FALSE(start_on(bytes, {{"first", std::string(500 + shift, 'a')}}, same));
+    CHECK(same);
+    REQUIRE(disk.append(one("third", 10, 'c')));
+    bytes += disk.folder.content(state_path).substr(bytes.size());
+    CHECK(start_on(bytes, {}, same) == make_error_code(Breakdown::disk_corrupt));
+  }
+}
+
+TEST_CASE("any bit flipped before the last frame refuses to start the disk", "[hardening.long_history]") {
+  ModelledDisk disk(7);
+  REQUIRE(disk.start());
+  REQUIRE(disk.append(one("first", 40, 'a')));
+  REQUIRE(disk.append(one("second", 30, 'b')));
+  const auto last = disk.file_bytes();
+  REQUIRE(disk.append(one("third", 20, 'c')));
+  const auto whole = disk.folder.content(state_path);
+  for (std::size_t place = 0; place < last; ++place)
+    for (unsigned bit = 0; bit < 8; ++bit) {
+      auto bytes = whole;
+      bytes[place] = static_cast<char>(static_cast<unsigned char>(bytes[place]) ^ (1U << bit));
+      bool same = false;
+      INFO("bit " << bit << " of byte " << place);
+      REQUIRE(start_on(bytes, {}, same) == make_error_code(Breakdown::disk_corrupt));
+    }
+}
