A start removes what a rewrite that was broken off has left

Cause: state.new stayed until the next rewrite. It took room, and where a loss of power keeps the new name of an unsynced rename but not the old one's removal, both names are the same file: the next rewrite emptied the live one.

--- a/src/shell/diskfile.cpp
+++ b/src/shell/diskfile.cpp
@@ -36,6 +36,8 @@
   if (files_.make_folder(folder) != 0 && errno != EEXIST) return last_error();
   lock_ = files_.lock(folder + "/lock");
   if (lock_ < 0) return last_error();
+  // What a rewrite that was broken off has left takes room for nothing.
+  files_.remove(rewrite_path());
   descriptor_ = files_.open(state_path(), O_RDWR | O_CREAT | O_APPEND);
   if (descriptor_ < 0) return last_error();
   std::string bytes;
--- a/test/unit/diskfaults.cpp
+++ b/test/unit/diskfaults.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
+constexpr std::size_t large = 900;
 constexpr std::size_t sector = 512;
 const std::string state_path = "sim/state";
+const std::string rewrite_path = "sim/state.new";
 
 Group one(const std::string& name, std::size_t bytes, char filling = 'x') {
   return {{name, std::string(bytes, filling)}};
@@ -25,6 +27,13 @@
 
 }  // namespace
 
+TEST_CASE("what a rewrite that was broken off has left takes no room after a start", "[hardening.long_history]") {
+  ModelledDisk disk(4);
+  disk.folder.set_content(rewrite_path, std::string(large, 'x'));
+  CHECK(disk.start());
+  CHECK_FALSE(disk.folder.has(rewrite_path));
+}
+
 TEST_CASE("the file stays within four times its live content, or a mebibyte", "[hardening.long_history]") {
   for (const std::size_t bytes : {1000, 20000, 200000}) {
     ModelledDisk disk(5, least_rewritten);
--- a/test/unit/longhistory.cpp
+++ b/test/unit/longhistory.cpp
@@ -83,6 +83,32 @@
   }
 }
 
+TEST_CASE("what was synced reads back after failures, kills and losses of power one upon another",
+          "[hardening.long_history]") {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    Chance chance(seed);
+    ModelledDisk disk(seed);
+    disk.start();
+    for (int life = 0; life < 20 && disk.fault.empty(); ++life) {
+      for (int number = 0; number < 8 && disk.powered(); ++number) {
+        if (chance.happens(0.2)) disk.folder.fails_at = disk.folder.operations_done() + 1 + chance.below(4);
+        if (chance.happens(0.2)) disk.folder.power_lost_at = disk.folder.operations_done() + 1 + chance.below(8);
+        disk.append(random_group(chance, large_record));
+      }
+      disk.folder.fails_at = 0;
+      if (disk.powered() && chance.happens(0.3)) {
+        disk.end_process();
+        disk.folder.power_lost_at = 0;
+        disk.start();
+      } else {
+        start_after_loss(disk, chance.below(4));
+      }
+    }
+    INFO("seed " << seed << ": " << disk.fault);
+    REQUIRE(disk.fault.empty());
+  }
+}
+
 TEST_CASE("the simulated folder finds a rewrite whose folder isn't synced", "[hardening.long_history]") {
   std::uint64_t found = 0;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
