A disk that was full goes on with room for the records alone

Cause: after any failed write the file was rewritten whole, which needs room for a second copy of the live content; with less room than that every later write failed, also once the file itself could have grown. The same where a rewrite that was due found no room.

Now a failed write is cut off the file, synced, before the next one; a rewrite that fails before its rename is put off until the file has grown by a quarter of its live content. After a rename or a folder's sync that failed the file is still written anew, as its name is in doubt. Ruled out: a rewrite after a write without room (it needs as much).

--- a/src/shell/disk.hpp
+++ b/src/shell/disk.hpp
@@ -15,6 +15,8 @@
 inline constexpr std::size_t least_rewritten = 1U << 20U;
 
 /// The file of checksummed frames; used by the disk thread alone once it runs.
+///
+/// A failed append leaves nothing behind that a later one builds on: the file's tail is cut, or the file written anew.
 class DiskFile {
  public:
   explicit DiskFile(FileOperations files = system_file_operations(), std::size_t rewrite_least = least_rewritten)
@@ -31,6 +33,8 @@
 
  private:
   std::error_code write_group(const std::string& frame);
+  /// Removes what a failed append may have left behind the last whole frame.
+  std::error_code cut_tail();
   /// Writes the contents into a new file, which then takes the old one's name.
   std::error_code rewrite();
   std::string state_path() const { return folder_ + "/state"; }
@@ -42,8 +46,12 @@
   int lock_ = -1;
   /// Bytes of the frames that were synced.
   std::size_t size_ = 0;
+  /// No rewrite is tried before the file has this size.
+  std::size_t rewrite_again_at_ = 0;
   std::size_t syncs_ = 0;
-  bool doubtful_ = false;
+  bool tail_in_doubt_ = false;
+  /// The file's name may lead to an older file after a loss of power.
+  bool name_in_doubt_ = false;
   DiskContents contents_;
 };
 
--- a/src/shell/diskfile.cpp
+++ b/src/shell/diskfile.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t rewrite_ratio = 4;
+/// After a rewrite that failed the next is tried once the file has grown by this part of the live content.
+constexpr std::size_t rewrite_retry_ratio = 4;
 
 std::error_code last_error() { return {errno, std::generic_category()}; }
 
@@ -55,6 +57,8 @@
 }
 
 std::error_code DiskFile::append(const DiskRecords& records) {
+  if (tail_in_doubt_)
+    if (const auto cause = cut_tail()) return cause;
   DiskRecords before;
   for (const auto& [name, bytes] : records) {
     const auto found = contents_.records.find(name);
@@ -64,16 +68,32 @@
   const auto cause = write_group(encode_disk_frame(records));
   if (!cause) return cause;
   for (auto item = before.rbegin(); item != before.rend(); ++item) contents_.apply(item->first, item->second);
-  doubtful_ = true;
   return cause;
 }
 
 std::error_code DiskFile::write_group(const std::string& frame) {
-  if (doubtful_ || size_ + frame.size() > std::max(rewrite_least_, rewrite_ratio * contents_.live_size))
-    return rewrite();
-  if (!write_all(files_, descriptor_, frame) || files_.sync(descriptor_) != 0) return last_error();
-  size_ += frame.size();
-  ++syncs_;
+  if (name_in_doubt_) return rewrite();
+  const auto most = std::max({rewrite_least_, rewrite_ratio * contents_.live_size, rewrite_again_at_});
+  if (size_ + frame.size() > most) {
+    const auto cause = rewrite();
+    if (!cause || name_in_doubt_) return cause;
+    // There may be no room for a second copy, but there may be for the frame.
+    rewrite_again_at_ = size_ + contents_.live_size / rewrite_retry_ratio;
+  }
+  if (write_all(files_, descriptor_, frame) && files_.sync(descriptor_) == 0) {
+    size_ += frame.size();
+    ++syncs_;
+    return {};
+  }
+  // A rewrite wouldn't help: it needs room for the same records and more.
+  tail_in_doubt_ = true;
+  return last_error();
+}
+
+std::error_code DiskFile::cut_tail() {
+  if (files_.truncate(descriptor_, static_cast<off_t>(size_)) != 0 || files_.sync(descriptor_) != 0)
+    return last_error();
+  tail_in_doubt_ = false;
   return {};
 }
 
@@ -83,8 +103,12 @@
   if (fresh < 0) return last_error();
   const auto frame = encode_disk_frame(contents_.records);
   std::error_code cause;
-  if (!write_all(files_, fresh, frame) || files_.sync(fresh) != 0 || files_.rename(path, state_path()) != 0)
+  if (!write_all(files_, fresh, frame) || files_.sync(fresh) != 0) {
+    cause = last_error();
+  } else if (files_.rename(path, state_path()) != 0) {
     cause = last_error();
+    name_in_doubt_ = true;
+  }
   if (cause) {
     files_.close(fresh);
     files_.remove(path);
@@ -93,9 +117,11 @@
   files_.close(descriptor_);
   descriptor_ = fresh;
   size_ = frame.size();
+  tail_in_doubt_ = false;
+  rewrite_again_at_ = 0;
   ++syncs_;
   cause = files_.sync_folder(folder_) == 0 ? std::error_code() : last_error();
-  doubtful_ = static_cast<bool>(cause);
+  name_in_doubt_ = static_cast<bool>(cause);
   return cause;
 }
 
--- a/test/unit/diskfaults.cpp
+++ b/test/unit/diskfaults.cpp
@@ -15,6 +15,13 @@
   return {{name, std::string(bytes, filling)}};
 }
 
+/// Five large records, each written three times: not yet enough for a rewrite.
+void fill(ModelledDisk& disk) {
+  REQUIRE(disk.start());
+  for (int number = 0; number < 15; ++number) REQUIRE(disk.append(one("name" + std::to_string(number % 5), large)));
+  REQUIRE(disk.rewrites == 0);
+}
+
 /// The code that a start on the bytes gives, and whether the records are the ones expected.
 std::error_code start_on(const std::string& bytes, const Records& expected, bool& same) {
   SimFolder folder(1);
@@ -27,6 +34,45 @@
 
 }  // namespace
 
+TEST_CASE("a disk that was full takes records again once there is room for them alone", "[hardening.long_history]") {
+  ModelledDisk disk(1);
+  fill(disk);
+  disk.folder.room = disk.folder.bytes() + large / 2;
+  for (int turn = 0; turn < 3; ++turn) CHECK_FALSE(disk.append(one("name1", large, 'y')));
+  disk.folder.room = disk.file_bytes() + 2 * large;
+  CHECK(disk.append(one("name1", large, 'z')));
+  disk.lose_power();
+  CHECK(disk.start());
+  CHECK(disk.fault == "");
+}
+
+TEST_CASE("a file that can't be rewritten for want of room grows on, and is rewritten when there is room",
+          "[hardening.long_history]") {
+  ModelledDisk disk(2);
+  fill(disk);
+  disk.folder.room = disk.folder.bytes() + 9 * large - large / 2;
+  for (int number = 0; number < 8; ++number) CHECK(disk.append(one("name" + std::to_string(number % 5), large, 'y')));
+  CHECK(disk.rewrites == 0);
+  disk.folder.room = SIZE_MAX;
+  for (int number = 0; number < 12; ++number) CHECK(disk.append(one("name" + std::to_string(number % 5), large, 'z')));
+  CHECK(disk.rewrites == 1);
+  disk.lose_power();
+  CHECK(disk.start());
+  CHECK(disk.fault == "");
+}
+
+TEST_CASE("a disk that refused every write goes on as soon as it takes them", "[hardening.long_history]") {
+  ModelledDisk disk(3);
+  fill(disk);
+  disk.folder.refuses = true;
+  for (int turn = 0; turn < 50; ++turn) CHECK_FALSE(disk.append(one("name1", 100, 'y')));
+  disk.folder.refuses = false;
+  CHECK(disk.append(one("name2", 100, 'z')));
+  disk.lose_power();
+  CHECK(disk.start());
+  CHECK(disk.fault == "");
+}
+
 TEST_CASE("what a rewrite that was broken off has left takes no room after a start", "[hardening.long_history]") {
   ModelledDisk disk(4);
   disk.folder.set_content(rewrite_path, std::string(large, 'x'));
