A folder that a disk makes is synced in its parent

Cause: a loss of power could take the folder with all that was synced in it, and with it the identity and the promises of a disk. Red before: "a folder that a disk makes outlives a loss of power".

--- a/src/shell/disk.hpp
+++ b/src/shell/disk.hpp
@@ -32,6 +32,7 @@
   std::size_t syncs() const { return syncs_; }
 
  private:
+  std::error_code make_folder();
   std::error_code write_group(const std::string& frame);
   /// Removes what a failed append may have left behind the last whole frame.
   std::error_code cut_tail();
--- a/src/shell/diskfile.cpp
+++ b/src/shell/diskfile.cpp
@@ -26,6 +26,13 @@
   return true;
 }
 
+std::string parent_of(const std::string& folder) {
+  const auto end = folder.find_last_not_of('/');
+  const auto slash = end == std::string::npos ? end : folder.find_last_of('/', end);
+  if (slash == std::string::npos) return ".";
+  return slash == 0 ? "/" : folder.substr(0, slash);
+}
+
 }  // namespace
 
 DiskFile::~DiskFile() {
@@ -33,9 +40,15 @@
   if (lock_ >= 0) files_.close(lock_);
 }
 
+std::error_code DiskFile::make_folder() {
+  if (files_.make_folder(folder_) != 0) return errno == EEXIST ? std::error_code() : last_error();
+  // Else a loss of power could take the folder with all that was synced in it.
+  return files_.sync_folder(parent_of(folder_)) == 0 ? std::error_code() : last_error();
+}
+
 std::error_code DiskFile::open(const std::string& folder) {
   folder_ = folder;
-  if (files_.make_folder(folder) != 0 && errno != EEXIST) return last_error();
+  if (const auto cause = make_folder()) return cause;
   lock_ = files_.lock(folder + "/lock");
   if (lock_ < 0) return last_error();
   // What a rewrite that was broken off has left takes room for nothing.
--- a/test/unit/diskfaults.cpp
+++ b/test/unit/diskfaults.cpp
@@ -1,3 +1,5 @@
+#include <filesystem>
+
 #include "sim/plaindisk.hpp"
 #include "unit/checks.hpp"
 
@@ -32,6 +34,17 @@
   return cause;
 }
 
+struct Temporary {
+  Temporary() {
+    char name[] = "/tmp/weldsail-long-history-XXXXXX";
+    path = mkdtemp(name);
+  }
+  Temporary(const Temporary&) = delete;
+  Temporary& operator=(const Temporary&) = delete;
+  ~Temporary() { std::filesystem::remove_all(path); }
+  std::string path;
+};
+
 }  // namespace
 
 TEST_CASE("a disk that was full takes records again once there is room for them alone", "[hardening.long_history]") {
@@ -134,3 +147,16 @@
       REQUIRE(start_on(bytes, {}, same) == make_error_code(Breakdown::disk_corrupt));
     }
 }
+
+TEST_CASE("a folder that a disk makes outlives a loss of power", "[hardening.long_history]") {
+  const Temporary parent;
+  std::vector<std::string> synced;
+  auto files = system_file_operations();
+  files.sync_folder = [&, sync = files.sync_folder](const std::string& folder) {
+    synced.push_back(folder);
+    return sync(folder);
+  };
+  DiskFile file(files);
+  REQUIRE_FALSE(file.open(parent.path + "/made"));
+  CHECK(synced == std::vector<std::string>{parent.path, parent.path + "/made"});
+}
