While a disk hangs the newest record of each name waits, once

Cause: each group of records went into the disk thread's pipe with its values, up to 8,192 groups, and up to 256 groups were written as one frame with every older value. The thread has one group at a time now, and what comes meanwhile is merged by name: memory and the frame are bounded by the live content.

--- a/src/shell/disk.cpp
+++ b/src/shell/disk.cpp
@@ -7,20 +7,23 @@
 
 namespace weldsail {
 
-struct Disk::Job {
+struct Disk::Group {
   std::vector<std::uint64_t> tokens;
-  std::vector<std::pair<std::string, std::string>> records;
+  std::map<std::string, std::string> records;
   bool kept = false;
 };
 
-Disk::Disk(Loop& loop, const std::string& folder)
-    : folder_(folder), to_thread_{-1, -1}, to_loop_{-1, -1}, loop_(loop) {}
+Disk::Disk(Loop& loop, const std::string& folder, FileOperations files)
+    : folder_(folder), file_(std::move(files)), to_thread_{-1, -1}, to_loop_{-1, -1}, loop_(loop) {}
 
 Disk::~Disk() {
   if (!thread_.joinable()) return;
+  if (waiting_) hand_over();
   close(to_thread_[1]);
   thread_.join();
   close(to_thread_[0]);
+  Group* raw = nullptr;
+  while (read(to_loop_[0], &raw, sizeof(raw)) == static_cast<ssize_t>(sizeof(raw))) delete raw;
   readable_.reset();
   close(to_loop_[1]);
 }
@@ -31,45 +34,50 @@
   if (pipe2(to_thread_, O_CLOEXEC) != 0 || pipe2(to_loop_, O_CLOEXEC) != 0)
     return std::unexpected(std::error_code(errno, std::generic_category()));
   fcntl(to_loop_[0], F_SETFL, O_NONBLOCK);
-  fcntl(to_thread_[1], F_SETFL, O_NONBLOCK);
   readable_.emplace(loop_, to_loop_[0], [this] { collect(); });
   thread_ = std::thread([this] { serve(); });
   return image;
 }
 
 void Disk::persist(const Persist& effect) {
-  auto job = std::make_unique<Job>();
-  job->tokens.push_back(effect.token);
-  job->records = effect.records;
-  auto* raw = job.release();
-  if (write(to_thread_[1], &raw, sizeof(raw)) == static_cast<ssize_t>(sizeof(raw))) return;
-  delete raw;
-  persisted.emit({effect.token, false});
+  if (!waiting_) waiting_ = std::make_unique<Group>();
+  waiting_->tokens.push_back(effect.token);
+  for (const auto& [name, bytes] : effect.records) waiting_->records[name] = bytes;
+  if (!handed_over_) hand_over();
+}
+
+std::size_t Disk::waiting_bytes() const {
+  std::size_t sum = 0;
+  if (waiting_)
+    for (const auto& [name, bytes] : waiting_->records) sum += name.size() + bytes.size();
+  return sum;
+}
+
+void Disk::hand_over() {
+  auto* raw = waiting_.release();
+  handed_over_ = write(to_thread_[1], &raw, sizeof(raw)) == static_cast<ssize_t>(sizeof(raw));
+  if (handed_over_) return;
+  const std::unique_ptr<Group> group(raw);
+  for (const auto token : group->tokens) persisted.emit({token, false});
 }
 
 void Disk::serve() {
-  Job* jobs[256];
-  while (true) {
-    const auto got = read(to_thread_[0], jobs, sizeof(jobs));
-    if (got <= 0) return;
-    const auto count = static_cast<std::size_t>(got) / sizeof(Job*);
-    std::unique_ptr<Job> group(jobs[0]);
-    for (std::size_t place = 1; place < count; ++place) {
-      const std::unique_ptr<Job> other(jobs[place]);
-      group->tokens.push_back(other->tokens.front());
-      for (auto& record : other->records) group->records.push_back(std::move(record));
-    }
-    group->kept = !file_.append(group->records);
-    auto* raw = group.release();
+  Group* raw = nullptr;
+  while (read(to_thread_[0], &raw, sizeof(raw)) == static_cast<ssize_t>(sizeof(raw))) {
+    std::unique_ptr<Group> group(raw);
+    group->kept = !file_.append({group->records.begin(), group->records.end()});
+    raw = group.release();
     if (write(to_loop_[1], &raw, sizeof(raw)) != static_cast<ssize_t>(sizeof(raw))) delete raw;
   }
 }
 
 void Disk::collect() {
-  Job* raw = nullptr;
+  Group* raw = nullptr;
   while (read(to_loop_[0], &raw, sizeof(raw)) == static_cast<ssize_t>(sizeof(raw))) {
-    const std::unique_ptr<Job> job(raw);
-    for (const auto token : job->tokens) persisted.emit({token, job->kept});
+    const std::unique_ptr<Group> group(raw);
+    handed_over_ = false;
+    if (waiting_) hand_over();
+    for (const auto token : group->tokens) persisted.emit({token, group->kept});
   }
 }
 
--- a/src/shell/disk.hpp
+++ b/src/shell/disk.hpp
@@ -57,19 +57,24 @@
 };
 
 /// The disk as the loop sees it: hands records to a thread of its own and tells when they are synced.
+///
+/// The thread has one group at a time. What comes meanwhile waits here, the newest record of each name only.
 class Disk {
  public:
-  Disk(Loop& loop, const std::string& folder);
+  Disk(Loop& loop, const std::string& folder, FileOperations files = system_file_operations());
   Disk(const Disk&) = delete;
   Disk& operator=(const Disk&) = delete;
   ~Disk();
   /// Reads the folder; call before the first persist.
   Outcome<Records> start();
   void persist(const Persist& effect);
+  /// Bytes of the records that wait for the group before them.
+  std::size_t waiting_bytes() const;
   sigc::signal<void(const Persisted&)> persisted;
 
  private:
-  struct Job;
+  struct Group;
+  void hand_over();
   void serve();
   void collect();
   std::string folder_;
@@ -78,6 +83,8 @@
   int to_loop_[2];
   std::thread thread_;
   std::optional<Readable> readable_;
+  std::unique_ptr<Group> waiting_;
+  bool handed_over_ = false;
   Loop& loop_;
 };
 
--- a/test/unit/diskfaults.cpp
+++ b/test/unit/diskfaults.cpp
@@ -1,4 +1,6 @@
+#include <atomic>
 #include <filesystem>
+#include <future>
 
 #include "sim/plaindisk.hpp"
 #include "unit/checks.hpp"
@@ -160,3 +162,31 @@
   REQUIRE_FALSE(file.open(parent.path + "/made"));
   CHECK(synced == std::vector<std::string>{parent.path, parent.path + "/made"});
 }
+
+TEST_CASE("while a disk hangs only the newest record of each name waits, and is written once",
+          "[hardening.long_history]") {
+  constexpr std::uint64_t handed = 2000;
+  constexpr std::size_t record_bytes = 10000;
+  const Temporary folder;
+  std::promise<void> hang;
+  const auto over = hang.get_future().share();
+  std::atomic<std::size_t> written = 0;
+  auto files = system_file_operations();
+  files.write = [&, write = files.write](int descriptor, const char* bytes, std::size_t size) {
+    written += size;
+    over.wait();
+    return write(descriptor, bytes, size);
+  };
+  Loop loop;
+  Disk disk(loop, folder.path, files);
+  REQUIRE(disk.start());
+  std::uint64_t kept = 0;
+  disk.persisted.connect([&](const Persisted& event) { kept += event.kept ? 1 : 0; });
+  for (std::uint64_t token = 1; token <= handed; ++token)
+    disk.persist({token, one("name" + std::to_string(token % 3), record_bytes, static_cast<char>('a' + token % 26))});
+  CHECK(disk.waiting_bytes() <= 4 * record_bytes);
+  hang.set_value();
+  for (int turn = 0; turn < 1000 && kept < handed; ++turn) loop.step(100);
+  CHECK(kept == handed);
+  CHECK(written <= 5 * record_bytes);
+}
