Scenario longhistory: 620 changes while members are down, emptied, frozen, with bad disks

Checked against a plain model of whole and amended changes: what is in force and read; that a returning member has the newest within 3 s while no change is made, that no disk forgets what it answered, and that no data process goes back.

--- a/test/sim/scenarios.hpp
+++ b/test/sim/scenarios.hpp
@@ -42,4 +42,7 @@
 /// Models placed on stand-in workers of a platform by one holder count each, under every kind of trouble.
 ScenarioResult run_placing(std::uint64_t seed);
 
+/// Hundreds of changes, whole and amended, while members are down, emptied or frozen and disks slow, full or hung.
+ScenarioResult run_long_history(std::uint64_t seed);
+
 }  // namespace weldsail::sim
--- a/test/unit/longhistory.cpp
+++ b/test/unit/longhistory.cpp
@@ -122,3 +122,11 @@
   }
   CHECK(found >= 5);
 }
+
+TEST_CASE("members are caught up, vote and tell from nothing old over hundreds of changes",
+          "[hardening.long_history]") {
+  const auto result = run_long_history(3);
+  check(result);
+  CHECK(result.figures.at(0).second >= 620);
+  CHECK(result.figures.at(1).second >= 5);
+}
