--- a/test/sim/scenarios.hpp
+++ b/test/sim/scenarios.hpp
@@ -50,5 +50,7 @@
 
 /// Bytes and processor time of a change, by routes, changes recorded and the record's layout; any seed gives the same.
 ScenarioResult run_change_cost(std::uint64_t seed);
+/// Hundreds of changes, whole and amended, while members are down, emptied or frozen and disks slow, full or hung.
+ScenarioResult run_long_history(std::uint64_t seed);
 
 }  // namespace weldsail::sim
