--- a/src/core/configuration/configduty.cpp
+++ b/src/core/configuration/configduty.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int history_limit = 256;
+/// An owner that no majority confirms says so after this part of the bound; its forwarders wait a little longer.
+constexpr Moment answers_per_bound = 4;
 
 const wire::Change* find_change(const wire::ConfigValue& value, const std::string& change) {
   for (const auto& item : value.history())
@@ -93,7 +95,11 @@
   state.under_way = std::move(job);
 }
 
-/// False while a refusal waits for the proof that this node still is the owner.
+/// True once a majority has confirmed this owner in a round that began after the job came: only then are its content's
+/// repeats, refusals and reads known not to be stale. A proposal needs no such proof, as it needs a majority itself.
+bool confirmed_since(const RegisterState& owner, const ConfigJob& job) { return owner.confirmed > job.arrived; }
+
+/// False while the answer waits for that.
 bool begin_paths(ConfigDutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
                  const ConfigJob& job, Moment now, Effects& effects) {
   const auto decision = path_change(*state.dialect, state.current.document(), state.revision, job.operation);
@@ -101,7 +107,7 @@
     propose(state, member, core, owner, job, decision.document, now, effects);
     return true;
   }
-  if (decision.by_revision && owner.confirmed < job.arrived) return false;
+  if (!confirmed_since(owner, job)) return false;
   operate_answer(member, job.asker, decision.status, operate_faults(decision.faults, job.operation.change()), effects);
   return true;
 }
@@ -110,17 +116,21 @@
 bool begin_change(ConfigDutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
                   const ConfigJob& job, Moment now, Effects& effects) {
   const auto& operation = job.operation;
+  const bool confirmed = confirmed_since(owner, job);
   if (const auto* known = find_change(state.current, operation.change())) {
+    if (!confirmed) return false;
     operate_answer(member, job.asker, 200, accepted_text(*known), effects, std::to_string(known->version()));
     return true;
   }
   if (state.dialect != nullptr) return begin_paths(state, member, core, owner, job, now, effects);
   const auto base = read_base(operation.base());
   if (!base) {
+    if (!confirmed) return false;
     operate_refuse(member, job.asker, 400, "base_missing", "refused", operation.change(), effects);
     return true;
   }
   if (*base != state.current.version()) {
+    if (!confirmed) return false;
     operate_answer(member, job.asker, 409, conflict_text(job, state.current.version()), effects,
                    std::to_string(state.current.version()));
     return true;
@@ -129,6 +139,7 @@
   if (operation.method() == "POST") {
     auto changed = change_config(state.current.document(), operation.body());
     if (!changed) {
+      if (!confirmed) return false;
       operate_answer(member, job.asker, 422, operate_faults(changed.error(), operation.change()), effects);
       return true;
     }
@@ -136,6 +147,7 @@
   }
   const auto read = read_config(document);
   if (!read.faults.empty()) {
+    if (!confirmed) return false;
     operate_answer(member, job.asker, 422, operate_faults(read.faults, operation.change()), effects);
     return true;
   }
@@ -143,6 +155,24 @@
   return true;
 }
 
+/// Refuses what no majority has confirmed in time: none of it has been proposed.
+void refuse_late(std::deque<ConfigJob>& jobs, const MemberState& member, Moment latest, Effects& effects) {
+  while (!jobs.empty() && jobs.front().arrived <= latest) {
+    operate_refuse(member, jobs.front().asker, 503, "unconfirmed", "refused", jobs.front().operation.change(), effects);
+    jobs.pop_front();
+  }
+}
+
+void answer_late(ConfigDutyState& state, const MemberState& member, Moment now, Effects& effects) {
+  const auto latest = now - state.bound / answers_per_bound;
+  refuse_late(state.changes, member, latest, effects);
+  refuse_late(state.reads, member, latest, effects);
+  auto& job = state.under_way;
+  if (!job || job->answered || job->arrived > latest) return;
+  operate_refuse(member, job->asker, 504, "unconfirmed", "unknown", job->operation.change(), effects);
+  job->answered = true;
+}
+
 }  // namespace
 
 void config_held(ConfigDutyState& state, const RegisterState& owner) {
@@ -160,27 +190,32 @@
                  Moment now, Effects& effects) {
   if (owner.phase != OwnerPhase::holding) return;
   while (!state.changes.empty() && !owner.proposal) {
-    if (!begin_change(state, member, core, owner, state.changes.front(), now, effects)) break;
+    auto& job = state.changes.front();
+    if (job.unconfirmed && !confirmed_since(owner, job)) break;
+    job.unconfirmed = !begin_change(state, member, core, owner, job, now, effects);
+    if (job.unconfirmed) break;
     state.changes.pop_front();
   }
-  while (!state.reads.empty() && owner.confirmed >= state.reads.front().arrived) {
+  while (!state.reads.empty() && confirmed_since(owner, state.reads.front())) {
     answer_read(state, member, state.reads.front(), effects);
     state.reads.pop_front();
   }
+  answer_late(state, member, now, effects);
 }
 
 void config_committed(ConfigDutyState& state, const MemberState& member, const RegisterState& owner, Effects& effects) {
   config_held(state, owner);
   note(effects, "config.accepted", {{"version", std::to_string(state.current.version())}});
   if (!state.under_way) return;
-  if (const auto* change = find_change(state.current, state.under_way->operation.change()))
+  const auto* change = find_change(state.current, state.under_way->operation.change());
+  if (change != nullptr && !state.under_way->answered)
     operate_answer(member, state.under_way->asker, 200, accepted_text(*change), effects,
                    std::to_string(change->version()));
   state.under_way.reset();
 }
 
 void config_lost(ConfigDutyState& state, const MemberState& member, Effects& effects) {
-  if (state.under_way)
+  if (state.under_way && !state.under_way->answered)
     operate_refuse(member, state.under_way->asker, 504, "owner_lost", "unknown", state.under_way->operation.change(),
                    effects);
   state.under_way.reset();
--- a/src/core/configuration/configduty.hpp
+++ b/src/core/configuration/configduty.hpp
@@ -11,10 +11,15 @@
   Asker asker;
   wire::Operate operation;
   Moment arrived = 0;
+  /// Decided upon once, but a refusal or repeat may be told only after a majority has confirmed this owner again.
+  bool unconfirmed = false;
+  /// Whoever asked has been told that the outcome is unknown.
+  bool answered = false;
 };
 
 /// The configuration owner's state.
 struct ConfigDutyState {
+  Moment bound = 3000;
   std::deque<ConfigJob> changes;
   std::deque<ConfigJob> reads;
   std::optional<ConfigJob> under_way;
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -21,26 +21,28 @@
           now};
 }
 
-void publish(ControlState& state, const RegisterState& owner, Effects& effects) {
+void publish(ControlState& state, const RegisterState& owner, Moment now, Effects& effects) {
   if (owner.version == 0) return;
   wire::RegisterValue value;
   value.set_key(owner.key);
   value.set_epoch(owner.epoch);
   value.set_version(owner.version);
   value.set_value(owner.value);
-  control_learn(state, value, effects);
+  control_learn(state, value, now, effects);
+  if (owner.key == config_key) news_prove_current(state.news, owner.confirmed);
   for (const auto* entry : live_members(state.member, Program::control)) {
     if (entry->node() == state.member.self.node()) continue;
     auto envelope = member_envelope(state.member, entry->node());
     *envelope.mutable_news()->add_values() = value;
     *envelope.mutable_news()->mutable_core() = state.formation.core;
+    news_write_age(state.news, 0, now, *envelope.mutable_news());
     effects.push_back(SendMessage{entry->address(), std::move(envelope)});
   }
 }
 
 void on_held(ControlState& state, RegisterState& owner, Moment now, Effects& effects) {
   duty_claim(state.member, state.owners);
-  publish(state, owner, effects);
+  publish(state, owner, now, effects);
   if (owner.key == config_key) config_held(state.config_duty, owner);
   if (owner.key != placement_key) return;
   if (state.options.dialect != nullptr)
@@ -50,7 +52,7 @@
 }
 
 void on_committed(ControlState& state, RegisterState& owner, Moment now, Effects& effects) {
-  publish(state, owner, effects);
+  publish(state, owner, now, effects);
   if (owner.key == config_key) config_committed(state.config_duty, state.member, owner, effects);
   if (owner.key == core_key) control_core_done(state, true, effects);
   if (owner.key != placement_key) return;
@@ -101,7 +103,7 @@
   contacts_start(state.contacts, state.member, event.records);
   for (const auto& [name, bytes] : event.records) {
     wire::RegisterValue value;
-    if (name.starts_with(control_learned) && value.ParseFromString(bytes)) control_learn(state, value, effects);
+    if (name.starts_with(control_learned) && value.ParseFromString(bytes)) control_learn(state, value, now, effects);
   }
   control_use_document(state);
 }
@@ -117,6 +119,12 @@
   state.drain_under_way = job.asker;
 }
 
+/// An owner's confirmed round proves that the committed value, which it has published, was the newest.
+void prove_as_owner(ControlState& state) {
+  const auto& owner = state.owners[config_key];
+  if (owner.phase == OwnerPhase::holding) news_prove_current(state.news, owner.confirmed);
+}
+
 void on_tick(ControlState& state, const Ticked& event, Moment now, Effects& effects) {
   state.random = event.random;
   const auto known = news_known(state.news);
@@ -136,6 +144,8 @@
   repair_lead(state.repair, state.member, state.formation, state.owners[core_key], now, effects);
   repair_copy(state.repair, state.member, state.formation, now, effects);
   vote_tick(state.vote, now, effects);
+  prove_as_owner(state);
+  currency_tick(state.currency, state.news, state.member, state.formation.core, now, effects);
   news_tick(state.news, state.member, now, effects);
   operate_tick(state.operate, state.member, now, effects);
   config_tick(state.config_duty, state.member, state.formation.core, state.owners[config_key], now, effects);
@@ -187,7 +197,8 @@
   state.config_duty.dialect = options.dialect;
   if (options.dialect != nullptr) state.operate.patience = bound / asks_per_bound;
   state.recover.bound = state.duty.bound = state.repair.bound = state.vote.bound = state.news.bound =
-      state.operate.bound = state.steward.bound = state.placing.bound = bound;
+      state.currency.bound = state.config_duty.bound = state.operate.bound = state.steward.bound = state.placing.bound =
+          bound;
   state.vote.kept = options.claims_kept;
   if (options.dialect != nullptr) state.news.control_only = {placement_key};
   state.steward.platform.address = options.platform;
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "core/configuration/configduty.hpp"
+#include "core/configuration/currency.hpp"
 #include "core/configuration/news.hpp"
 #include "core/consensus/recover.hpp"
 #include "core/consensus/repair.hpp"
@@ -58,6 +59,7 @@
   FormationState formation;
   DutyState duty;
   NewsState news;
+  CurrencyState currency;
   OperateState operate;
   ConfigDutyState config_duty;
   StewardState steward;
--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -9,7 +9,7 @@
 
 bool votes_under_old_core(const ControlState& state, const wire::Envelope& envelope, Effects& effects) {
   const bool vote = envelope.has_prepare() || envelope.has_accept() || envelope.has_check() ||
-                    (envelope.has_claim() && !envelope.claim().release());
+                    (envelope.has_claim() && !envelope.claim().release()) || envelope.news_ask().accepted_only();
   if (!vote || CoreTag{envelope.core_epoch(), envelope.core_version()} >= state.member.core_tag) return false;
   auto answer = member_envelope(state.member, envelope.from());
   *answer.mutable_news()->mutable_core() = state.formation.core;
@@ -17,6 +17,16 @@
   return true;
 }
 
+void take_news_ask(ControlState& state, const wire::Envelope& envelope, Moment now, Effects& effects) {
+  const auto& core = state.formation.core;
+  if (envelope.news_ask().accepted_only())
+    currency_answer(state.acceptor, state.member, envelope, effects);
+  else if (envelope.news_ask().first())
+    news_answer_first(state.news, state.acceptor, state.member, core, envelope, now, effects);
+  else
+    news_asked(state.news, state.member, core, envelope, now, effects);
+}
+
 }  // namespace
 
 void control_use_drains(ControlState& state, const wire::Placement& placement) {
@@ -44,13 +54,13 @@
   member_config(state.member, state.document_version);
 }
 
-void control_learn(ControlState& state, const wire::RegisterValue& value, Effects& effects) {
+void control_learn(ControlState& state, const wire::RegisterValue& value, Moment now, Effects& effects) {
   wire::Core core;
   if (value.key() == core_key && core.ParseFromString(value.value())) {
     formation_learn(state.formation, state.member, core, effects);
     state.repair.committed = std::max(state.repair.committed, core_tag(core));
   }
-  if (!news_learn(state.news, state.member, state.formation.core, value, effects)) return;
+  if (!news_learn(state.news, state.member, state.formation.core, value, now, effects)) return;
   note(effects, "news.learned", {{"key", value.key()}, {"version", std::to_string(value.version())}});
   if (state.options.has_disk)
     effects.push_back(Persist{learned_tokens, {{control_learned + value.key(), value.SerializeAsString()}}});
@@ -114,17 +124,17 @@
     member_receive(state.member, envelope, known, now, effects);
     for (const auto& item : envelope.ping().known())
       if (item.key() == core_key && item.version() > state.formation.core.version()) state.duty.behind = now;
-    news_heard(state.news, state.member, envelope, effects);
+    news_heard(state.news, state.member, envelope, now, effects);
   }
   if (envelope.has_form()) formation_receive(state.formation, state.member, envelope, effects);
-  if (envelope.has_news_ask() && envelope.news_ask().first())
-    news_answer_first(state.news, state.acceptor, state.member, state.formation.core, envelope, effects);
-  else if (envelope.has_news_ask())
-    news_asked(state.news, state.member, state.formation.core, envelope, effects);
+  if (envelope.has_news_ask()) take_news_ask(state, envelope, now, effects);
   if (envelope.has_news()) {
-    state.news.asked.erase(envelope.from());
     formation_learn(state.formation, state.member, envelope.news().core(), effects);
-    for (const auto& value : envelope.news().values()) control_learn(state, value, effects);
+    for (const auto& value : envelope.news().values()) control_learn(state, value, now, effects);
+    if (envelope.news().accepted_size() > 0)
+      currency_heard(state.currency, state.news, state.formation.core, envelope);
+    else
+      news_answered(state.news, state.member, envelope, now);
   }
   if (envelope.has_operate())
     control_operate(state, {envelope.operate().request(), envelope.from(), envelope.address()}, envelope.operate(), now,
--- a/src/core/controlparts.hpp
+++ b/src/core/controlparts.hpp
@@ -11,7 +11,7 @@
 /// Reads from the committed placement which control nodes an operator has drained.
 void control_use_drains(ControlState& state, const wire::Placement& placement);
 /// Takes a committed value.
-void control_learn(ControlState& state, const wire::RegisterValue& value, Effects& effects);
+void control_learn(ControlState& state, const wire::RegisterValue& value, Moment now, Effects& effects);
 /// Answers an operator's request, or carries it to the owner.
 void control_operate(ControlState& state, const Asker& asker, const wire::Operate& operation, Moment now,
                      Effects& effects);
--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -67,19 +67,20 @@
   if (envelope.to() != 0 && envelope.to() != state.member.self.node()) return;
   if (envelope.has_ping()) {
     member_receive(state.member, envelope, news_known(state.news), now, effects);
-    news_heard(state.news, state.member, envelope, effects);
+    news_heard(state.news, state.member, envelope, now, effects);
   }
   if (envelope.has_news()) {
-    state.news.asked.erase(envelope.from());
     formation_learn(state.formation, state.member, envelope.news().core(), effects);
     for (const auto& value : envelope.news().values())
       if (wire::Core core; value.key() == core_key && core.ParseFromString(value.value()))
         formation_learn(state.formation, state.member, core, effects);
     for (const auto& value : envelope.news().values())
-      news_learn(state.news, state.member, state.formation.core, value, effects);
+      news_learn(state.news, state.member, state.formation.core, value, now, effects);
+    news_answered(state.news, state.member, envelope, now);
     hear_first(state, envelope);
     use_news(state, now, effects);
   }
+  if (envelope.has_news_ask()) news_asked_once(state.news, state.member, state.formation.core, envelope, now, effects);
   if (envelope.has_operated()) operate_answered(state.operate, envelope, effects);
   if (envelope.has_claimed()) claims_receive(state, envelope, now, effects);
   if (envelope.has_fleet()) path_fleet(state, envelope, now, effects);
--- a/src/core/operations/operate.cpp
+++ b/src/core/operations/operate.cpp
@@ -21,6 +21,9 @@
   text.end().close();
 }
 
+/// Another process may answer, or this one later.
+bool tells_to_retry(std::uint32_t status) { return status == 503 || status == 504; }
+
 std::string members_text(const MemberState& member) {
   JsonText text;
   text.object().key("members").array();
@@ -84,7 +87,7 @@
   if (asker.node == 0) {
     std::vector<Header> headers{{"content-type", "application/json"}};
     if (!version.empty()) headers.push_back({"weldsail-version", version});
-    if (status == 503) headers.push_back({"retry-after", "1"});
+    if (tells_to_retry(static_cast<std::uint32_t>(status))) headers.push_back({"retry-after", "1"});
     effects.push_back(Answer{asker.request, status, std::move(headers), std::move(body)});
     return;
   }
@@ -114,7 +117,9 @@
     return;
   }
   const auto identity = state.next++;
-  const auto patience = state.patience != 0 ? state.patience : 2 * state.bound;
+  const auto patience = key == config_key     ? operate_config_patience(state.bound)
+                        : state.patience != 0 ? state.patience
+                                              : 2 * state.bound;
   const bool change = operation.method() != "GET";
   state.forwarded[identity] = {request, holder->node(), now + patience, change ? operation.change() : std::string()};
   operation.set_request(identity);
@@ -129,7 +134,7 @@
   if (found == state.forwarded.end()) return;
   std::vector<Header> headers{{"content-type", "application/json"}};
   if (!answer.version().empty()) headers.push_back({"weldsail-version", answer.version()});
-  if (answer.status() == 503) headers.push_back({"retry-after", "1"});
+  if (tells_to_retry(answer.status())) headers.push_back({"retry-after", "1"});
   effects.push_back(
       Answer{found->second.request, static_cast<int>(answer.status()), std::move(headers), answer.body()});
   state.forwarded.erase(found);
--- a/src/core/operations/operate.hpp
+++ b/src/core/operations/operate.hpp
@@ -23,12 +23,15 @@
 /// The operator part: the same on every node.
 struct OperateState {
   Moment bound = 3000;
-  /// Longest wait for another node's answer; 0 for two bounds.
+  /// Longest wait for another node's answer, the configuration's owner excepted; 0 for two bounds.
   Moment patience = 0;
   std::map<std::uint64_t, ForwardedOperation> forwarded;
   std::uint64_t next = 1;
 };
 
+/// Longest wait for the configuration's owner, in milliseconds: with a tick to spare less than a third of the bound,
+/// after which operators go on to another node by themselves.
+inline Moment operate_config_patience(Moment bound) { return bound * 3 / 10; }
 /// True for a path that operators use.
 bool operate_path(const std::string& path);
 /// The key whose owner answers a path, or nothing when any node does.
--- a/test/sim/scenarios.hpp
+++ b/test/sim/scenarios.hpp
@@ -24,6 +24,9 @@
 /// The same for a fleet of any plan; callers pause for at most the given time.
 ScenarioResult run_day_of(std::uint64_t seed, const FleetPlan& plan, Moment pause_most);
 
+/// Control processes cut off for 20 s: what each answers, and when data nodes have the majority's version in force.
+ScenarioResult run_cutoff(std::uint64_t seed);
+
 /// Core machines replaced by empty ones, one after another, until none of the first remains.
 ScenarioResult run_replace(std::uint64_t seed);
 
--- a/test/wssim/main.cpp
+++ b/test/wssim/main.cpp
@@ -27,11 +27,12 @@
 int main(int count, char** arguments) {
   using weldsail::sim::ScenarioResult;
   const std::map<std::string, std::function<ScenarioResult(std::uint64_t)>> scenarios{
-      {"register", weldsail::sim::run_register}, {"day", weldsail::sim::run_day},
-      {"replace", weldsail::sim::run_replace},   {"takeover", weldsail::sim::run_takeover},
-      {"tbilisi", weldsail::sim::run_tbilisi},   {"kuusela", weldsail::sim::run_kuusela},
-      {"force", weldsail::sim::run_force},       {"rollout", weldsail::sim::run_rollout},
-      {"hard", weldsail::sim::run_hard},         {"placing", weldsail::sim::run_placing},
+      {"register", weldsail::sim::run_register}, {"cutoff", weldsail::sim::run_cutoff},
+      {"day", weldsail::sim::run_day},           {"replace", weldsail::sim::run_replace},
+      {"takeover", weldsail::sim::run_takeover}, {"tbilisi", weldsail::sim::run_tbilisi},
+      {"kuusela", weldsail::sim::run_kuusela},   {"force", weldsail::sim::run_force},
+      {"rollout", weldsail::sim::run_rollout},   {"hard", weldsail::sim::run_hard},
+      {"placing", weldsail::sim::run_placing},
   };
   TCLAP::CmdLine line("wssim: seeded runs of whole fleets on virtual clocks, networks and disks", ' ', "0.1.0");
   TCLAP::ValueArg<std::string> scenario("", "scenario", "which", false, "register", "name", line);
