--- a/src/core/configuration/news.cpp
+++ b/src/core/configuration/news.cpp
@@ -93,7 +93,7 @@
 
 void news_asked_once(const NewsState& state, const MemberState& member, const wire::Core& core,
                      const wire::Envelope& envelope, Moment now, Effects& effects) {
-  answer_news(state, member, core, envelope, now, effects);
+  if (is_data(member, envelope.from())) answer_news(state, member, core, envelope, now, effects);
 }
 
 void news_ask_all(const NewsState& state, const MemberState& member, const wire::Core& core, Effects& effects) {
@@ -127,7 +127,7 @@
                 Effects& effects) {
   const bool data = member.options.program == Program::data;
   const bool proved = state.current_as_of && now - *state.current_as_of <= state.bound / proofs_per_bound;
-  if (proved && is_data(member, envelope.from())) return;
+  if ((proved || !data) && is_data(member, envelope.from())) return;
   for (const auto& item : envelope.ping().known())
     if (!(data && state.control_only.contains(item.key())) && newer(state, item.key(), item.version())) {
       news_send_ask(state, member, envelope.from(), envelope.address(), now, effects);
--- a/src/core/configuration/news.hpp
+++ b/src/core/configuration/news.hpp
@@ -52,7 +52,7 @@
 /// Answers an ask at once: with news, or with the age of the last proof alone; the ask then waits for news.
 void news_asked(NewsState& state, const MemberState& member, const wire::Core& core, const wire::Envelope& envelope,
                 Moment now, Effects& effects);
-/// Answers an ask where there is news, and keeps nothing: for processes that nobody relies on as a source.
+/// Answers another data node's ask where there is news, and keeps nothing: a data node is nobody's steady source.
 void news_asked_once(const NewsState& state, const MemberState& member, const wire::Core& core,
                      const wire::Envelope& envelope, Moment now, Effects& effects);
 /// Asks the sender of a ping that knows more than this node; a data node only when the sources have failed.
