--- a/src/core/configuration/news.cpp
+++ b/src/core/configuration/news.cpp
@@ -61,6 +61,10 @@
   effects.push_back(SendMessage{address, std::move(envelope)});
 }
 
+bool news_proved(const NewsState& state, Moment now) {
+  return state.current_as_of && now - *state.current_as_of <= state.bound / proofs_per_bound;
+}
+
 void news_prove_current(NewsState& state, Moment as_of) {
   state.current_as_of = state.current_as_of ? std::max(*state.current_as_of, as_of) : as_of;
 }
@@ -126,8 +130,7 @@
 void news_heard(NewsState& state, const MemberState& member, const wire::Envelope& envelope, Moment now,
                 Effects& effects) {
   const bool data = member.options.program == Program::data;
-  const bool proved = state.current_as_of && now - *state.current_as_of <= state.bound / proofs_per_bound;
-  if ((proved || !data) && is_data(member, envelope.from())) return;
+  if ((news_proved(state, now) || !data) && is_data(member, envelope.from())) return;
   for (const auto& item : envelope.ping().known())
     if (!(data && state.control_only.contains(item.key())) && newer(state, item.key(), item.version())) {
       news_send_ask(state, member, envelope.from(), envelope.address(), now, effects);
--- a/src/core/configuration/news.hpp
+++ b/src/core/configuration/news.hpp
@@ -27,6 +27,9 @@
   /// Up to this moment nothing newer than the configuration here had been acknowledged to anybody; proved by a
   /// majority of the core, here or where it was heard. Nothing before the first proof of this life.
   std::optional<Moment> current_as_of;
+  /// The data node that was asked last for want of a proof, and when.
+  std::uint64_t last_neighbour = 0;
+  Moment neighbour_asked = 0;
 };
 
 /// Versions that this node has.
@@ -34,6 +37,8 @@
 /// Takes a committed value when it is newer; true when it was.
 bool news_learn(NewsState& state, const MemberState& member, const wire::Core& core, const wire::RegisterValue& value,
                 Moment now, Effects& effects);
+/// True while the last proof is so young that no other than the sources need be asked.
+bool news_proved(const NewsState& state, Moment now);
 /// Raises the moment up to which the configuration here is proved to be the newest.
 void news_prove_current(NewsState& state, Moment as_of);
 /// Writes into news the age of the sender's last proof; `asked_ms` is the ask's own, 0 for a push.
--- a/src/core/configuration/newssources.cpp
+++ b/src/core/configuration/newssources.cpp
@@ -70,6 +70,32 @@
   });
 }
 
+bool live_data_node(const wire::Member& entry) {
+  return entry.program() == static_cast<std::uint32_t>(Program::data) &&
+         entry.state() <= static_cast<std::uint32_t>(MemberPhase::suspect);
+}
+
+/// The live data node that follows the one asked last on the ring of node numbers; null where there is none.
+const wire::Member* next_neighbour(const NewsState& state, const MemberState& member) {
+  const auto follows = member.others.upper_bound(state.last_neighbour);
+  const auto fits = [](const auto& item) { return live_data_node(item.second.entry); };
+  if (const auto found = std::find_if(follows, member.others.end(), fits); found != member.others.end())
+    return &found->second.entry;
+  const auto found = std::find_if(member.others.begin(), follows, fits);
+  return found == follows ? nullptr : &found->second.entry;
+}
+
+/// Without a proof a data node asks its neighbours in turn: one of them may reach the majority.
+void ask_neighbour(NewsState& state, const MemberState& member, Moment now, Effects& effects) {
+  if (member.options.program != Program::data || news_proved(state, now)) return;
+  if (now - state.neighbour_asked < member_beat(member)) return;
+  const auto* neighbour = next_neighbour(state, member);
+  if (neighbour == nullptr) return;
+  state.neighbour_asked = now;
+  state.last_neighbour = neighbour->node();
+  news_send_ask(state, member, neighbour->node(), neighbour->address(), now, effects);
+}
+
 }  // namespace
 
 void news_tick(NewsState& state, const MemberState& member, Moment now, Effects& effects) {
@@ -85,6 +111,7 @@
     pause /= static_cast<Moment>(sources_in_use);
     news_send_ask(state, member, entry->node(), entry->address(), now, effects);
   }
+  ask_neighbour(state, member, now, effects);
 }
 
 void news_answered(NewsState& state, const MemberState& member, const wire::Envelope& envelope, Moment now) {
