--- a/src/core/configuration/configduty.cpp
+++ b/src/core/configuration/configduty.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "core/configuration/config.hpp"
+#include "core/configuration/configanswers.hpp"
 #include "core/configuration/pathduty.hpp"
 #include "core/json.hpp"
 #include "core/membership/rendezvous.hpp"
@@ -13,36 +14,8 @@
 
 /// Most changes that the history lists.
 constexpr std::size_t history_limit = 256;
-
-const wire::Change* find_change(const wire::ConfigValue& value, const std::string& change) {
-  for (const auto& item : value.history())
-    if (item.id() == change) return &item;
-  return nullptr;
-}
-
-std::string accepted_text(const std::string& change, std::uint64_t version) {
-  JsonText text;
-  text.object().field("outcome", "accepted").number("version", version).field("change", change).close();
-  return text.text();
-}
-
-std::string conflict_text(const ConfigJob& job, std::uint64_t newest) {
-  JsonText text;
-  text.object().field("code", "conflict").field("outcome", "refused").number("newest", newest);
-  text.field("change", job.operation.change()).close();
-  return text.text();
-}
-
-std::string history_text(const wire::ConfigValue& value) {
-  JsonText text;
-  text.object().number("version", value.version()).key("history").array();
-  for (const auto& change : value.history()) {
-    text.object().number("version", change.version()).field("change", change.id());
-    text.field("digest", change.digest()).number("bytes", change.bytes()).close();
-  }
-  text.end().close();
-  return text.text();
-}
+/// An owner that no majority confirms says so after this part of the bound; its forwarders wait a little longer.
+constexpr Moment answers_per_bound = 4;
 
 std::optional<std::uint64_t> read_base(const std::string& base) {
   std::uint64_t number = 0;
@@ -51,28 +24,6 @@
   return number;
 }
 
-void answer_read(const ConfigDutyState& state, const MemberState& member, const ConfigJob& job, Effects& effects) {
-  const auto& path = job.operation.path();
-  const auto version = std::to_string(state.current.version());
-  static const std::string changes = "/v1/config/changes/";
-  if (path == "/v1/config") {
-    if (state.current.version() == 0)
-      operate_refuse(member, job.asker, 404, "no_configuration", "refused", {}, effects);
-    else
-      operate_answer(member, job.asker, 200, state.current.document(), effects, version);
-  } else if (path == "/v1/config/history") {
-    operate_answer(member, job.asker, 200, history_text(state.current), effects, version);
-  } else if (path.starts_with(changes)) {
-    const auto* found = find_change(state.current, path.substr(changes.size()));
-    if (found != nullptr)
-      operate_answer(member, job.asker, 200, accepted_text(found->id(), found->version()), effects, version);
-    else
-      operate_refuse(member, job.asker, 404, "not_seen", "unknown", path.substr(changes.size()), effects);
-  } else {
-    operate_refuse(member, job.asker, 404, "no_such_path", "refused", {}, effects);
-  }
-}
-
 bool changes_path(const wire::Operate& operation) {
   return (operation.method() == "PUT" && operation.path() == "/v1/config") ||
          (operation.method() == "POST" && operation.path() == "/v1/config/change");
@@ -106,7 +57,7 @@
 /// Version of a change that was taken, by its fingerprint or, where a former release took it, by its identity.
 std::optional<std::uint64_t> taken_version(const ConfigDutyState& state, const ConfigJob& job) {
   const auto& value = state.current;
-  const auto* listed = find_change(value, job.operation.change());
+  const auto* listed = listed_change(value, job.operation.change());
   if (const auto since = taken_find(value.taken(), job.fingerprint))
     return listed != nullptr ? listed->version() : value.version() - *since;
   const auto covered = taken_complete(value.taken(), current_number(state)) ? taken_count(value.taken()) : 0;
@@ -123,7 +74,11 @@
   return *base < (taken_complete(state.current.taken(), number) ? state.current.taken().first_base() : number);
 }
 
-/// False while a refusal waits for the proof that this node still is the owner.
+/// True once a majority has confirmed this owner in a round that began after the job came: only then are its content's
+/// repeats, refusals and reads known not to be stale. A proposal needs no such proof, as it needs a majority itself.
+bool confirmed_since(const RegisterState& owner, const ConfigJob& job) { return owner.confirmed > job.arrived; }
+
+/// False while the answer waits for that.
 bool begin_paths(ConfigDutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
                  const ConfigJob& job, Moment now, Effects& effects) {
   const auto decision = path_change(*state.dialect, state.current.document(), state.revision, job.operation);
@@ -131,7 +86,7 @@
     propose(state, member, core, owner, job, decision.document, now, effects);
     return true;
   }
-  if (decision.by_revision && owner.confirmed < job.arrived) return false;
+  if (!confirmed_since(owner, job)) return false;
   operate_answer(member, job.asker, decision.status, operate_faults(decision.faults, job.operation.change()), effects);
   return true;
 }
@@ -140,7 +95,9 @@
 bool begin_change(ConfigDutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
                   const ConfigJob& job, Moment now, Effects& effects) {
   const auto& operation = job.operation;
+  const bool confirmed = confirmed_since(owner, job);
   if (const auto version = taken_version(state, job)) {
+    if (!confirmed) return false;
     operate_answer(member, job.asker, 200, accepted_text(operation.change(), *version), effects,
                    std::to_string(*version));
     return true;
@@ -152,12 +109,13 @@
   if (state.dialect != nullptr) return begin_paths(state, member, core, owner, job, now, effects);
   const auto base = read_base(operation.base());
   if (!base) {
+    if (!confirmed) return false;
     operate_refuse(member, job.asker, 400, "base_missing", "refused", operation.change(), effects);
     return true;
   }
-  if (*base != state.current.version() || find_change(state.current, operation.change()) != nullptr) {
-    if (owner.confirmed < job.arrived) return false;
-    operate_answer(member, job.asker, 409, conflict_text(job, state.current.version()), effects,
+  if (*base != state.current.version() || listed_change(state.current, operation.change()) != nullptr) {
+    if (!confirmed) return false;
+    operate_answer(member, job.asker, 409, conflict_text(operation.change(), state.current.version()), effects,
                    std::to_string(state.current.version()));
     return true;
   }
@@ -165,6 +123,7 @@
   if (operation.method() == "POST") {
     auto changed = change_config(state.current.document(), operation.body());
     if (!changed) {
+      if (!confirmed) return false;
       operate_answer(member, job.asker, 422, operate_faults(changed.error(), operation.change()), effects);
       return true;
     }
@@ -172,6 +131,7 @@
   }
   const auto read = read_config(document);
   if (!read.faults.empty()) {
+    if (!confirmed) return false;
     operate_answer(member, job.asker, 422, operate_faults(read.faults, operation.change()), effects);
     return true;
   }
@@ -179,6 +139,25 @@
   return true;
 }
 
+/// Tells whoever asked for what no majority has confirmed in time; none of it has been proposed here.
+void refuse_late(std::deque<ConfigJob>& jobs, const MemberState& member, Moment latest, Effects& effects) {
+  while (!jobs.empty() && jobs.front().arrived <= latest) {
+    operate_refuse(member, jobs.front().asker, 503, "unconfirmed", operate_unheard(jobs.front().operation),
+                   jobs.front().operation.change(), effects);
+    jobs.pop_front();
+  }
+}
+
+void answer_late(ConfigDutyState& state, const MemberState& member, Moment now, Effects& effects) {
+  const auto latest = now - state.bound / answers_per_bound;
+  refuse_late(state.changes, member, latest, effects);
+  refuse_late(state.reads, member, latest, effects);
+  auto& job = state.under_way;
+  if (!job || job->answered || job->arrived > latest) return;
+  operate_refuse(member, job->asker, 504, "unconfirmed", "unknown", job->operation.change(), effects);
+  job->answered = true;
+}
+
 }  // namespace
 
 void config_held(ConfigDutyState& state, const RegisterState& owner) {
@@ -197,27 +176,32 @@
                  Moment now, Effects& effects) {
   if (owner.phase != OwnerPhase::holding) return;
   while (!state.changes.empty() && !owner.proposal) {
-    if (!begin_change(state, member, core, owner, state.changes.front(), now, effects)) break;
+    auto& job = state.changes.front();
+    if (job.unconfirmed && !confirmed_since(owner, job)) break;
+    job.unconfirmed = !begin_change(state, member, core, owner, job, now, effects);
+    if (job.unconfirmed) break;
     state.changes.pop_front();
   }
-  while (!state.reads.empty() && owner.confirmed >= state.reads.front().arrived) {
-    answer_read(state, member, state.reads.front(), effects);
+  while (!state.reads.empty() && confirmed_since(owner, state.reads.front())) {
+    answer_config_read(state.current, member, state.reads.front(), effects);
     state.reads.pop_front();
   }
+  answer_late(state, member, now, effects);
 }
 
 void config_committed(ConfigDutyState& state, const MemberState& member, const RegisterState& owner, Effects& effects) {
   config_held(state, owner);
   note(effects, "config.accepted", {{"version", std::to_string(state.current.version())}});
   if (!state.under_way) return;
-  if (const auto* change = find_change(state.current, state.under_way->operation.change()))
+  const auto* change = listed_change(state.current, state.under_way->operation.change());
+  if (change != nullptr && !state.under_way->answered)
     operate_answer(member, state.under_way->asker, 200, accepted_text(change->id(), change->version()), effects,
                    std::to_string(change->version()));
   state.under_way.reset();
 }
 
 void config_lost(ConfigDutyState& state, const MemberState& member, Effects& effects) {
-  if (state.under_way)
+  if (state.under_way && !state.under_way->answered)
     operate_refuse(member, state.under_way->asker, 504, "owner_lost", "unknown", state.under_way->operation.change(),
                    effects);
   state.under_way.reset();
--- a/src/core/configuration/pathduty.cpp
+++ b/src/core/configuration/pathduty.cpp
@@ -8,10 +8,8 @@
                          const wire::Operate& operation) {
   if (operation.base().empty()) return {400, {}, {{"", "names no revision that it builds on"}}};
   if (operation.base() != std::to_string(revision))
-    return {412,
-            {},
-            {{"", "builds on " + operation.base() + ", but the current revision is " + std::to_string(revision)}},
-            true};
+    return {
+        412, {}, {{"", "builds on " + operation.base() + ", but the current revision is " + std::to_string(revision)}}};
   auto document = operation.body();
   if (operation.method() == "POST") {
     auto amended = dialect.amend_config(current, operation.body());
@@ -20,8 +18,7 @@
   }
   auto read = dialect.read_config(document);
   if (!read.faults.empty()) return {400, {}, std::move(read.faults)};
-  if (read.config.revision <= revision)
-    return {400, {}, {{"/revision", "must be above " + std::to_string(revision)}}, true};
+  if (read.config.revision <= revision) return {400, {}, {{"/revision", "must be above " + std::to_string(revision)}}};
   return {200, std::move(document), {}};
 }
 
--- a/src/core/configuration/pathduty.hpp
+++ b/src/core/configuration/pathduty.hpp
@@ -9,8 +9,6 @@
   int status = 200;
   std::string document;
   std::vector<Fault> faults;
-  /// The refusal rests on what the current revision is.
-  bool by_revision = false;
 };
 
 /// Decides a change that was not taken before, against the current document and its revision (0 for none).
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -8,9 +8,6 @@
 namespace weldsail {
 namespace {
 
-/// Operators that speak the dialect move on after this part of the bound.
-constexpr Moment asks_per_bound = 3;
-
 StewardContext steward_context(ControlState& state, Moment now) {
   static const ConfigDocument none;
   return {state.member,
@@ -21,26 +18,28 @@
           now};
 }
 
-void publish(ControlState& state, const RegisterState& owner, Effects& effects) {
+void publish(ControlState& state, const RegisterState& owner, Moment now, Effects& effects) {
   if (owner.version == 0) return;
   wire::RegisterValue value;
   value.set_key(owner.key);
   value.set_epoch(owner.epoch);
   value.set_version(owner.version);
   value.set_value(owner.value);
-  control_learn(state, value, effects);
+  control_learn(state, value, now, effects);
+  if (owner.key == config_key) news_prove_current(state.news, owner.confirmed);
   for (const auto* entry : live_members(state.member, Program::control)) {
     if (entry->node() == state.member.self.node()) continue;
     auto envelope = member_envelope(state.member, entry->node());
     *envelope.mutable_news()->add_values() = value;
     *envelope.mutable_news()->mutable_core() = state.formation.core;
+    news_write_age(state.news, 0, now, *envelope.mutable_news());
     effects.push_back(SendMessage{entry->address(), std::move(envelope)});
   }
 }
 
 void on_held(ControlState& state, RegisterState& owner, Moment now, Effects& effects) {
   duty_claim(state.member, state.owners);
-  publish(state, owner, effects);
+  publish(state, owner, now, effects);
   if (owner.key == config_key) config_held(state.config_duty, owner);
   if (owner.key != placement_key) return;
   if (state.options.dialect != nullptr)
@@ -50,7 +49,7 @@
 }
 
 void on_committed(ControlState& state, RegisterState& owner, Moment now, Effects& effects) {
-  publish(state, owner, effects);
+  publish(state, owner, now, effects);
   if (owner.key == config_key) config_committed(state.config_duty, state.member, owner, effects);
   if (owner.key == core_key) control_core_done(state, true, effects);
   if (owner.key != placement_key) return;
@@ -101,7 +100,7 @@
   contacts_start(state.contacts, state.member, event.records);
   for (const auto& [name, bytes] : event.records) {
     wire::RegisterValue value;
-    if (name.starts_with(control_learned) && value.ParseFromString(bytes)) control_learn(state, value, effects);
+    if (name.starts_with(control_learned) && value.ParseFromString(bytes)) control_learn(state, value, now, effects);
   }
   control_use_document(state);
 }
@@ -128,6 +127,12 @@
   state.leave_due = now + member_beat(state.member);
 }
 
+/// An owner's confirmed round proves that the committed value, which it has published, was the newest.
+void prove_as_owner(ControlState& state) {
+  const auto& owner = state.owners[config_key];
+  if (owner.phase == OwnerPhase::holding) news_prove_current(state.news, owner.confirmed);
+}
+
 void on_tick(ControlState& state, const Ticked& event, Moment now, Effects& effects) {
   state.random = event.random;
   const auto known = news_known(state.news);
@@ -147,6 +152,8 @@
   repair_lead(state.repair, state.member, state.formation, state.owners[core_key], now, effects);
   repair_copy(state.repair, state.member, state.formation, now, effects);
   vote_tick(state.vote, now, effects);
+  prove_as_owner(state);
+  currency_tick(state.currency, state.news, state.member, state.formation.core, now, effects);
   news_tick(state.news, state.member, now, effects);
   operate_tick(state.operate, state.member, now, effects);
   config_tick(state.config_duty, state.member, state.formation.core, state.owners[config_key], now, effects);
@@ -185,33 +192,6 @@
   if (what == RegisterSignal::lost) on_lost(state, owner, effects);
 }
 
-ControlState make_control(const ControlOptions& options) {
-  ControlState state;
-  state.options = options;
-  state.member.options = options.member;
-  state.member.options.program = Program::control;
-  const auto bound = options.member.bound;
-  state.formation.core_size = options.founders.empty() ? options.core_size : 0;
-  state.formation.founders = options.founders;
-  state.repair.target = options.core_target;
-  state.repair.replace_after = options.replace_after;
-  state.departure.within = options.leave_within;
-  state.config_duty.dialect = options.dialect;
-  state.config_duty.remembered = options.remembered;
-  if (options.dialect != nullptr) state.operate.patience = bound / asks_per_bound;
-  state.recover.bound = state.duty.bound = state.repair.bound = state.vote.bound = state.news.bound =
-      state.operate.bound = state.steward.bound = state.placing.bound = bound;
-  state.vote.kept = options.claims_kept;
-  if (options.dialect != nullptr) state.news.control_only = {placement_key};
-  state.steward.platform.address = options.platform;
-  state.steward.platform.pace = options.platform_pace;
-  for (const auto* key : {config_key, placement_key, core_key}) {
-    state.owners[key].key = key;
-    state.owners[key].bound = bound;
-  }
-  return state;
-}
-
 Effects reduce(ControlState& state, const Event& event, Moment now) {
   Effects effects;
   if (const auto* started = std::get_if<Started>(&event)) on_start(state, *started, now, effects);
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "core/configuration/configduty.hpp"
+#include "core/configuration/currency.hpp"
 #include "core/configuration/news.hpp"
 #include "core/consensus/departure.hpp"
 #include "core/consensus/recover.hpp"
@@ -64,6 +65,7 @@
   DutyState duty;
   DepartureState departure;
   NewsState news;
+  CurrencyState currency;
   OperateState operate;
   ConfigDutyState config_duty;
   StewardState steward;
--- a/test/wssim/main.cpp
+++ b/test/wssim/main.cpp
@@ -42,6 +42,7 @@
       {"changecost", weldsail::sim::run_change_cost},
       {"secondloss", weldsail::sim::run_second_loss},
       {"longhistory", weldsail::sim::run_long_history},
+      {"cutoff", weldsail::sim::run_cutoff},
   };
   TCLAP::CmdLine line("wssim: seeded runs of whole fleets on virtual clocks, networks and disks", ' ', "0.1.0");
   TCLAP::ValueArg<std::string> scenario("", "scenario", "which", false, "register", "name", line);
