A new owner of a key without a value waits for a former owner's lease too

Cause: acts_from was the moment of the take-over when no value had been accepted, and a granted Prepare, which confirms its sender for a lease, was not counted as a grant. So two owners of a key that had no value yet could both pass register_may_act. The first start of a cluster keeps its speed: a disk that has never promised the key says that it was always quiet.

Ruled out: waiting only where a value was accepted (the fault itself); refusing to act without a value (the first placement needs an owner that acts).

Conclusion: acts_from follows from the former owner's last possible confirmation in every case.

--- a/src/core/consensus/acceptor.cpp
+++ b/src/core/consensus/acceptor.cpp
@@ -7,6 +7,8 @@
 
 constexpr std::string_view promise_prefix = "promise/";
 constexpr std::string_view copy_prefix = "copy/";
+/// Quiet time of a key that was never promised to anybody: longer than any process runs, in milliseconds.
+constexpr Moment never_granted = 1LL << 50;
 
 void wait_for_disk(AcceptorState& state, wire::Envelope answer,
                    std::vector<std::pair<std::string, std::string>> records, Effects& effects) {
@@ -28,7 +30,9 @@
   return {std::string(copy_prefix) + key, value.SerializeAsString()};
 }
 
-Moment last_grant(const AcceptorState& state, const std::string& key) {
+/// When a former owner may have been confirmed last. A promise is durable, so a key without one never had an owner.
+Moment last_grant(const AcceptorState& state, const std::string& key, std::uint64_t promised, Moment now) {
+  if (promised == 0) return now - never_granted;
   const auto found = state.granted_at.find(key);
   return found == state.granted_at.end() ? state.known_since : std::max(state.known_since, found->second);
 }
@@ -43,8 +47,10 @@
   promise->set_epoch(prepare.epoch());
   promise->set_granted(prepare.epoch() > copy.promised);
   if (promise->granted()) {
+    const auto granted = last_grant(state, prepare.key(), copy.promised, now);
+    promise->set_quiet_ms(static_cast<std::uint64_t>(std::max<Moment>(0, now - granted)));
     copy.promised = prepare.epoch();
-    promise->set_quiet_ms(static_cast<std::uint64_t>(std::max<Moment>(0, now - last_grant(state, prepare.key()))));
+    state.granted_at[prepare.key()] = now;
   }
   promise->set_promised(copy.promised);
   promise->set_accepted_epoch(copy.accepted_epoch);
--- a/src/core/consensus/register.cpp
+++ b/src/core/consensus/register.cpp
@@ -66,7 +66,7 @@
   state.former_until = std::max(state.former_until, now - static_cast<Moment>(promise.quiet_ms()));
   if (!core_majority(core, state.promised)) return RegisterSignal::none;
   const auto apart = std::min(now, state.former_until + register_lease(state)) + state.bound;
-  state.acts_from = state.best_epoch == 0 ? now : std::max(now, apart);
+  state.acts_from = std::max(now, apart);
   state.confirmed = state.since;
   if (state.best_epoch == 0) {
     change_phase(state, OwnerPhase::holding, now, effects);
--- a/test/sim/scenarios.hpp
+++ b/test/sim/scenarios.hpp
@@ -10,6 +10,8 @@
 struct ScenarioResult {
   std::vector<std::string> faults;
   std::vector<std::pair<std::string, double>> figures;
+  /// Lines that are worth printing as they are.
+  std::vector<std::string> notes = {};
 };
 
 /// The configuration as one register under loss, kills, cuts, freezes, stalls and lost writes.
@@ -42,4 +44,10 @@
 /// Models placed on stand-in workers of a platform by one holder count each, under every kind of trouble.
 ScenarioResult run_placing(std::uint64_t seed);
 
+/// Random walks of the model checker, far beyond the depth of its exhaustive search.
+ScenarioResult run_model(std::uint64_t seed);
+
+/// The model checker's exhaustive searches, so many steps deeper than in the tests.
+ScenarioResult run_model_search(std::uint64_t deeper);
+
 }  // namespace weldsail::sim
--- a/test/wssim/main.cpp
+++ b/test/wssim/main.cpp
@@ -32,6 +32,7 @@
       {"tbilisi", weldsail::sim::run_tbilisi},   {"kuusela", weldsail::sim::run_kuusela},
       {"force", weldsail::sim::run_force},       {"rollout", weldsail::sim::run_rollout},
       {"hard", weldsail::sim::run_hard},         {"placing", weldsail::sim::run_placing},
+      {"model", weldsail::sim::run_model},       {"model-search", weldsail::sim::run_model_search},
   };
   TCLAP::CmdLine line("wssim: seeded runs of whole fleets on virtual clocks, networks and disks", ' ', "0.1.0");
   TCLAP::ValueArg<std::string> scenario("", "scenario", "which", false, "register", "name", line);
@@ -63,6 +64,7 @@
   for (auto seed = first.getValue(); seed < first.getValue() + seeds.getValue(); ++seed) {
     const auto result = found->second(seed);
     for (const auto& [name, value] : result.figures) sums[name] += value;
+    for (const auto& line : result.notes) std::cout << line << std::endl;
     if (result.faults.empty()) continue;
     ++failed;
     std::cout << "seed=" << seed << " faults=" << result.faults.size() << " first=\"" << result.faults.front()
