--- a/test/sim/modelplans.cpp
+++ b/test/sim/modelplans.cpp
@@ -89,15 +89,13 @@
   return world;
 }
 
-/// The same, and the spare holds a copy of all.
+/// The same, and the spare holds a copy of all; the owner has not heard of it.
 ModelWorld filled_root() {
   auto world = core_root();
   world.perform({ActionKind::doubt, 0, 2, 0});
   settle(world);
-  for (int again = 0; again < 2; ++again) {
-    world.perform({ActionKind::pause, 0, 0, 0});
-    perform_and_settle(world, ActionKind::tick, 3);
-  }
+  perform_and_settle(world, ActionKind::tick, 3);
+  world.perform({ActionKind::cut, 3, 0, 0});
   return world;
 }
 
