--- a/test/sim/scenarios.hpp
+++ b/test/sim/scenarios.hpp
@@ -10,6 +10,8 @@
 struct ScenarioResult {
   std::vector<std::string> faults;
   std::vector<std::pair<std::string, double>> figures;
+  /// Lines that are worth printing as they are.
+  std::vector<std::string> notes = {};
 };
 
 /// The configuration as one register under loss, kills, cuts, freezes, stalls and lost writes.
@@ -53,7 +55,14 @@
 
 /// Bytes and processor time of a change, by routes, changes recorded and the record's layout; any seed gives the same.
 ScenarioResult run_change_cost(std::uint64_t seed);
+
 /// Hundreds of changes, whole and amended, while members are down, emptied or frozen and disks slow, full or hung.
 ScenarioResult run_long_history(std::uint64_t seed);
 
+/// Random walks of the model checker, far beyond the depth of its exhaustive search.
+ScenarioResult run_model(std::uint64_t seed);
+
+/// The model checker's exhaustive searches, so many steps deeper than in the tests.
+ScenarioResult run_model_search(std::uint64_t deeper);
+
 }  // namespace weldsail::sim
--- a/test/wssim/main.cpp
+++ b/test/wssim/main.cpp
@@ -43,6 +43,8 @@
       {"secondloss", weldsail::sim::run_second_loss},
       {"longhistory", weldsail::sim::run_long_history},
       {"cutoff", weldsail::sim::run_cutoff},
+      {"model", weldsail::sim::run_model},
+      {"model-search", weldsail::sim::run_model_search},
   };
   TCLAP::CmdLine line("wssim: seeded runs of whole fleets on virtual clocks, networks and disks", ' ', "0.1.0");
   TCLAP::ValueArg<std::string> scenario("", "scenario", "which", false, "register", "name", line);
@@ -78,6 +80,7 @@
       sums[name] += value;
       if (name.ends_with("_ms")) times[name].push_back(value);
     }
+    for (const auto& note : result.notes) std::cout << note << std::endl;
     if (result.faults.empty()) continue;
     ++failed;
     std::cout << "seed=" << seed << " faults=" << result.faults.size() << " first=\"" << result.faults.front()
