A begun stream that another worker turned away waits and is sent there again

Cause of LOST on grown deployments, beside a change of configuration: a resumable stream was cut by its worker and went on to a second one that answered 503 with the not-run mark. That counted as the last of two tries, so the connection was closed at once, though the request had run on one worker only and its deadline was far. Where a try was left, the wait for a worker was counted from the request's arrival: a stream cut after 0.45 of its silence limit had none.

Now the route's tries bound distinct workers; a worker that turned a begun stream away unrun may be asked again after a sixth of the bound, and a begun stream waits from its last event for three quarters of the silence that its caller bears. Without a worker that may still take it, without budget or past the deadline it ends at once, as before. Requests whose answer hasn't begun are refused as before.

Considered: not counting refused sends at all (goes to more workers than the route allows); waiting by the deadline (the caller has given the stream up by then).

--- a/src/core/forwarding/paths/call.cpp
+++ b/src/core/forwarding/paths/call.cpp
@@ -47,6 +47,22 @@
       std::ranges::count_if(carry.tries, [](const PathTry& item) { return item.phase != TryPhase::unsent; }));
 }
 
+std::size_t carry_workers(const PathCarry& carry) {
+  std::set<std::string_view> workers;
+  for (const auto& item : carry.tries)
+    if (item.phase != TryPhase::unsent) workers.insert(item.worker);
+  return workers.size();
+}
+
+MayAsk carry_may_ask(const PathCarry& carry, const std::string& worker, Moment pause, Moment now) {
+  const auto same_worker = [&](const PathTry& item) { return item.worker == worker; };
+  const auto last = std::find_if(carry.tries.rbegin(), carry.tries.rend(), same_worker);
+  if (last == carry.tries.rend())
+    return carry_workers(carry) < std::max<std::size_t>(1, carry.route.tries) ? MayAsk::now : MayAsk::never;
+  if (!carry.answer_begun || last->phase != TryPhase::not_run) return MayAsk::never;
+  return now - last->ended < pause ? MayAsk::later : MayAsk::now;
+}
+
 bool carry_repeatable(const PathCarry& carry) {
   return carry.route.mode == PathMode::repeatable || (carry.route.mode == PathMode::stream && carry.route.resumable);
 }
--- a/src/core/forwarding/paths/call.hpp
+++ b/src/core/forwarding/paths/call.hpp
@@ -18,6 +18,7 @@
   std::uint64_t pipe = 0;
   TryPhase phase = TryPhase::open;
   Moment begun = 0;
+  Moment ended = 0;
   Moment last_bytes = 0;
   std::uint64_t missed_tokens = 0;
   bool has_event = false;
@@ -53,6 +54,8 @@
   bool answer_whole = false;
   EventReader reader;
   bool answer_begun = false;
+  /// When events were last passed on to the caller.
+  Moment last_event = 0;
   bool waits = false;
 };
 
@@ -102,8 +105,15 @@
 bool carry_open(const PathCarry& carry);
 /// True when some try may have run.
 bool carry_may_have_run(const PathCarry& carry);
-/// Workers that the request was sent to, or may have been.
+/// How often the request was sent to a worker, or may have been.
 std::size_t carry_sent(const PathCarry& carry);
+/// Distinct workers that the request was sent to, or may have been: what the route's `tries` bounds.
+std::size_t carry_workers(const PathCarry& carry);
+/// Whether a request may go to a worker: now, later (it turned the request away a moment ago), or never.
+enum class MayAsk { now, later, never };
+/// A worker that it never went to counts against the route's tries. An answer that has begun can't be refused any
+/// more, so it may go again to a worker that turned it away without running it, `pause` ms after that.
+MayAsk carry_may_ask(const PathCarry& carry, const std::string& worker, Moment pause, Moment now);
 /// True when the request may run more than once.
 bool carry_repeatable(const PathCarry& carry);
 
--- a/src/core/forwarding/paths/choose.cpp
+++ b/src/core/forwarding/paths/choose.cpp
@@ -15,6 +15,8 @@
 constexpr double spread_cost = 3;
 // What others had at a worker counts fully when it was just seen and for nothing after the bound.
 constexpr double pipes_used = 0.8;
+// A begun answer goes back to a worker that turned it away after this part of the bound.
+constexpr Moment pauses_per_bound = 6;
 
 double others_now(const WorkerTrack& track, Moment bound, Moment now) {
   const auto age = static_cast<double>(now - track.seen_load) / static_cast<double>(bound);
@@ -40,6 +42,7 @@
   const auto nodes = path_nodes(state);
   const auto pipes = std::max<std::size_t>(
       2, static_cast<std::size_t>(pipes_used * static_cast<double>(service.pipe_limit) / static_cast<double>(nodes)));
+  const auto pause = state.options.member.bound / pauses_per_bound;
   bool model_there = false;
   std::optional<std::pair<bool, double>> best;
   for (const auto& worker : state.path.fleet.workers) {
@@ -48,9 +51,10 @@
     if (by_model && !holds(worker, carry.call, adapter_there)) continue;
     if (!adapter_there) continue;
     model_there = true;
-    const bool tried =
-        std::ranges::any_of(carry.tries, [&](const PathTry& item) { return item.worker == worker.identity(); });
-    if (tried) continue;
+    const auto may_ask = carry_may_ask(carry, worker.identity(), pause, now);
+    if (may_ask == MayAsk::never) continue;
+    choice.later = true;
+    if (may_ask == MayAsk::later) continue;
     const auto found = state.path.tracks.find(worker.identity());
     const auto& track = found == state.path.tracks.end() ? unknown : found->second;
     if (track.open >= pipes) continue;
--- a/src/core/forwarding/paths/move.cpp
+++ b/src/core/forwarding/paths/move.cpp
@@ -8,6 +8,8 @@
 
 // Part of its time that a request may wait for a worker before it is told to come back.
 constexpr double hold_share = 0.45;
+// Part of the silence that a caller bears in which a begun answer may wait for another worker.
+constexpr double resume_share = 0.75;
 constexpr std::size_t unsent_most = 4;
 constexpr Moment connects_per_transit = 3;
 // Before this part of the bound is left to a node that leaves, all that waits has its answer.
@@ -21,7 +23,11 @@
   return std::max({least, aims * route.aim, gaps * route.gap_aim});
 }
 
-Moment hold_due(const PathCarry& carry) {
+Moment hold_due(const PathCarry& carry, bool later) {
+  if (carry.answer_begun && later) {
+    const auto patience = static_cast<double>(silence_limit(carry.route));
+    return carry.last_event + static_cast<Moment>(resume_share * patience);
+  }
   auto time = carry.due - carry.arrived;
   if (carry.route.mode == PathMode::stream) time = std::min(time, silence_limit(carry.route));
   return carry.arrived + static_cast<Moment>(hold_share * static_cast<double>(time));
@@ -48,7 +54,7 @@
   const auto pipe = state.numbers.take();
   if (carry_sent(carry) > 0) budget_repeat(path.budgets[carry.service], now);
   auto& track = path.tracks[worker.identity()];
-  PathTry item{worker.identity(), pipe, TryPhase::open, now, now, 0, false};
+  PathTry item{worker.identity(), pipe, TryPhase::open, now, 0, now, 0, false};
   if (!carry.unit.empty()) {
     item.missed_tokens = parts_missed(track.parts, carry.call, carry.chain);
     parts_remember(track.parts, carry.chain);
@@ -98,7 +104,8 @@
   if (now >= carry.due) return give_up("past_due");
   if (may_have_run && !carry_repeatable(carry)) return give_up("unknown");
   const auto sent = carry_sent(carry);
-  if (sent >= std::max<std::size_t>(1, carry.route.tries)) return give_up("tries");
+  const bool no_tries = carry_workers(carry) >= std::max<std::size_t>(1, carry.route.tries);
+  if (no_tries && !carry.answer_begun) return give_up("tries");
   if (carry.tries.size() - sent >= unsent_most) return give_up("unreachable");
   if (sent > 0 && !budget_allows(state.path.budgets[carry.service], state.options.limits, path_nodes(state), now))
     return give_up("budget");
@@ -111,9 +118,11 @@
   if (memo_late(state.memo, now)) return give_up("newer_configuration");
   const auto choice = path_choose(state, carry, now);
   if (choice.worker != nullptr) return open_try(state, carry, *choice.worker, now, effects);
+  if (no_tries && !choice.later) return give_up("tries");
   const bool ends_soon =
       state.leave_due != 0 && now >= state.leave_due - state.options.member.bound / leave_answers_per_bound;
-  if (ends_soon || now >= hold_due(carry)) return give_up(choice.lack == Lack::model ? "no_model" : "no_worker");
+  if (ends_soon || now >= hold_due(carry, choice.later))
+    return give_up(choice.lack == Lack::model ? "no_model" : "no_worker");
   set_waits(state, carry, true, now);
 }
 
@@ -133,6 +142,7 @@
   auto& path = state.path;
   auto& item = carry.tries.back();
   item.phase = phase;
+  item.ended = now;
   path.pipes.erase(item.pipe);
   auto& track = path.tracks[item.worker];
   if (track.open > 0) --track.open;
--- a/src/core/forwarding/paths/path.hpp
+++ b/src/core/forwarding/paths/path.hpp
@@ -34,6 +34,8 @@
 struct Choice {
   const wire::WorkerEntry* worker = nullptr;
   Lack lack = Lack::worker;
+  /// No worker can be had now, but one that is there may take the request a little later.
+  bool later = false;
 };
 /// The worker with the least expected time to the first byte, or what is lacking.
 Choice path_choose(const DataState& state, const PathCarry& carry, Moment now);
--- a/src/core/forwarding/paths/pipe.cpp
+++ b/src/core/forwarding/paths/pipe.cpp
@@ -89,6 +89,7 @@
       head.close = state.member.leaving;
       effects.push_back(std::move(head));
     }
+    carry.last_event = now;
     count_events(state, carry, whole, now, effects);
     effects.push_back(AnswerBytes{carry.request, std::move(whole)});
   }
