--- a/src/core/forwarding/paths/pipe.cpp
+++ b/src/core/forwarding/paths/pipe.cpp
@@ -31,8 +31,7 @@
   }
   if (carry.answer_begun && (!success || head.not_run)) {
     effects.push_back(CancelPipe{carry.tries.back().pipe});
-    return path_end_try(state, carry, head.not_run || head.misdirected ? TryPhase::not_run : TryPhase::failed,
-                        "not_resumed", now, effects);
+    return path_end_try(state, carry, head.not_run ? TryPhase::not_run : TryPhase::failed, "not_resumed", now, effects);
   }
   carry.head = std::move(head);
 }
@@ -102,7 +101,7 @@
     const auto reason = event.reason.empty() ? std::string("cut") : event.reason;
     return path_end_try(state, carry, TryPhase::broken, reason, now, effects);
   }
-  if (carry.head.not_run || carry.head.misdirected)
+  if (carry.head.not_run)
     return path_end_try(state, carry, TryPhase::not_run, "refused_" + std::to_string(carry.status), now, effects);
   if (streams(carry) && !carry.reader.buffer.empty())
     return path_end_try(state, carry, TryPhase::broken, "half_event", now, effects);
--- a/test/unit/hostileanswers.cpp
+++ b/test/unit/hostileanswers.cpp
@@ -146,3 +146,18 @@
     CHECK(reply.body == "ok");
   }
 }
+
+TEST_CASE("what comes on a resting connection drops it", "[hardening.right_answer]") {
+  Exchanges exchanges;
+  REQUIRE(exchanges.run(good, false).whole);
+  REQUIRE(exchanges.client.idle_connections() == 1);
+  auto& resting = exchanges.connections.back();
+  const bool seen_by_loop = GENERATE(true, false);
+  SECTION("an answer too many") { resting->say(good); }
+  SECTION("a byte") { resting->say("x"); }
+  SECTION("its end") { exchanges.connections.clear(); }
+  if (seen_by_loop) REQUIRE(pump(exchanges.loop, [&] { return exchanges.client.idle_connections() == 0; }));
+  const auto reply = exchanges.run(line + "content-length: 4\r\n\r\nnext", false);
+  CHECK((reply.whole && reply.body == "next"));
+  CHECK(exchanges.client.idle_connections() == 1);
+}
