--- a/test/packages.sh
+++ b/test/packages.sh
@@ -31,7 +31,7 @@
 
 while IFS='=' read -r name path; do
   require_owner "$path" "${name%%:*}"
-done < <(grep -E '^(Protobuf_[A-Z_]*(LIBRARY|EXECUTABLE)[A-Z_]*|PROTOBUF_LITE_STATIC|ZLIB_LIBRARY[A-Z_]*|PKG_CONFIG_EXECUTABLE|pkgcfg_lib_[^:]*):FILEPATH=/' "$cache")
+done < <(grep -E '^(Protobuf_[A-Z_]*(LIBRARY|EXECUTABLE)[A-Z_]*|PROTOBUF_LITE_STATIC|ZLIB_LIBRARY[A-Z_]*|PKG_CONFIG_EXECUTABLE|HTTP_PARSER_LIBRARY|pkgcfg_lib_[^:]*):FILEPATH=/' "$cache")
 
 for module in $(sed -n 's/^pkg_check_modules(.* \([^ )]*\))$/\1/p' CMakeLists.txt); do
   require_owner "$(pkg-config --variable=pcfiledir "$module")/$module.pc" "pkg_check_modules"
