--- a/test/sim/placingfleet.cpp
+++ b/test/sim/placingfleet.cpp
@@ -40,7 +40,7 @@
   world.tick = 25;
   stands = std::make_unique<StandIns>(world, workers);
   for (std::size_t place = 0; place < 4; ++place) add_control("cp" + std::to_string(place + 1), place);
-  for (std::size_t place = 0; place < 3; ++place) add_data("dp" + std::to_string(place + 1), place);
+  for (std::size_t place = 0; place < asks.data_nodes; ++place) add_data("dp" + std::to_string(place + 1), place);
   world.stepping = [this](const SimNode& node, const Event& event, Moment) {
     const auto* message = std::get_if<MessageArrived>(&event);
     if (message == nullptr || node.address != "dp1") return;
@@ -147,7 +147,9 @@
   }
   item.began = world.now();
   item.ends = world.now() + asks_.run_time;
-  auto& counter = counters_[item.model];
+  const auto share = static_cast<std::size_t>(&item - asked.data()) % asks_.reporters;
+  const auto worker = asks_.reporters == 1 ? std::string() : picked.address();
+  auto& counter = counters_[share][{item.model, worker}];
   counter.set_missed_tokens(counter.missed_tokens() + missed_tokens);
   counter.set_generated_tokens(counter.generated_tokens() + generated_tokens);
   return true;
@@ -173,10 +175,15 @@
   next_report_ = world.now() + report_pace;
   const auto target = holder();
   if (target.empty()) return;
+  for (std::size_t share = 0; share < asks_.reporters; ++share) report_share(target, share, round);
+}
+
+void PlacingFleet::report_share(const std::string& target, std::size_t share, std::uint64_t round) {
   std::map<std::string, wire::Backlog> backlogs;
   std::map<std::string, std::map<std::string, int>> adapters;
   for (const auto& [model, used] : used_) backlogs[model].set_quiet_ms(static_cast<std::uint64_t>(world.now() - used));
   for (const auto place : open_) {
+    if (place % asks_.reporters != share) continue;
     const auto& item = asked[place];
     auto& backlog = backlogs[item.model];
     backlog.set_quiet_ms(0);
@@ -189,7 +196,7 @@
     if (!item.adapter.empty()) adapters[item.model][item.adapter] += item.began != 0 ? 1 : 100;
   }
   wire::Envelope envelope;
-  envelope.set_from(reporter);
+  envelope.set_from(reporter + share);
   auto* report = envelope.mutable_counter_report();
   report->set_round(round);
   for (auto& [model, backlog] : backlogs) {
@@ -201,8 +208,9 @@
     *report->add_backlogs() = backlog;
   }
   if (round != 0)
-    for (auto& [model, counter] : counters_) {
-      counter.set_unit(unit_name(workers_.service, model));
+    for (auto& [place, counter] : counters_[share]) {
+      counter.set_unit(unit_name(workers_.service, place.first));
+      counter.set_worker(place.second);
       *report->add_counters() = counter;
     }
   world.give(target, world.node(target).life, MessageArrived{envelope});
--- a/test/sim/placingfleet.hpp
+++ b/test/sim/placingfleet.hpp
@@ -15,6 +15,9 @@
   double adapter_share = 0.2;
   Moment run_time = 1500;
   Moment deadline = 20000;
+  /// Data nodes; each of as many reporters tells its share of the requests, or one of them all.
+  std::size_t data_nodes = 3;
+  std::size_t reporters = 1;
 };
 
 /// One request, as far as placing is concerned.
@@ -51,6 +54,8 @@
   void arrive();
   void run();
   void report(std::uint64_t round);
+  /// Tells the holder what the callers of one reporter ask for.
+  void report_share(const std::string& target, std::size_t share, std::uint64_t round);
   bool begin(AskedModel& item);
 
   WorkersPlan workers_;
@@ -63,7 +68,8 @@
   std::set<std::string> told_waiting_;
   std::map<std::string, Moment> avoided_;
   std::map<std::string, Moment> used_;
-  std::map<std::string, wire::Counter> counters_;
+  /// By reporter, model and worker.
+  std::map<std::size_t, std::map<std::pair<std::string, std::string>, wire::Counter>> counters_;
 };
 
 }  // namespace weldsail::sim
--- a/test/sim/simlist.cpp
+++ b/test/sim/simlist.cpp
@@ -3,7 +3,6 @@
 namespace weldsail::sim {
 namespace {
 
-constexpr std::size_t page_size = 5;
 constexpr Moment shown_pace = 50;
 
 std::string quoted(const std::string& text) { return "\"" + text + "\""; }
@@ -44,12 +43,12 @@
   const auto mark = pipe.path.find("page_token=");
   const auto first = mark == std::string::npos ? 0 : static_cast<std::size_t>(std::stoul(pipe.path.substr(mark + 11)));
   std::string text;
-  for (std::size_t place = first; place < std::min(first + page_size, shown_.size()); ++place)
+  for (std::size_t place = first; place < std::min(first + plan_.list_page, shown_.size()); ++place)
     text += (text.empty() ? "" : ",") + shown_[place];
-  const bool more = first + page_size < shown_.size();
+  const bool more = first + plan_.list_page < shown_.size();
   answer(node, life, pipe.pipe, 200,
-         R"({"units":[)" + text + R"(],"next_token":)" + (more ? quoted(std::to_string(first + page_size)) : "null") +
-             "}");
+         R"({"units":[)" + text + R"(],"next_token":)" +
+             (more ? quoted(std::to_string(first + plan_.list_page)) : "null") + "}");
 }
 
 void StandIns::answer(const std::string& node, std::uint64_t life, std::uint64_t pipe, int status, std::string body) {
--- a/test/sim/simworkers.hpp
+++ b/test/sim/simworkers.hpp
@@ -26,6 +26,8 @@
   double answers_lost = 0;
   /// Share of list pages that fail.
   double lists_failed = 0;
+  /// Workers on a page of the list.
+  std::size_t list_page = 5;
 };
 
 /// The configuration that fits the plan.
--- a/test/wssim/main.cpp
+++ b/test/wssim/main.cpp
@@ -5,6 +5,7 @@
 #include <map>
 
 #include "capacity.hpp"
+#include "sim/placingcost.hpp"
 #include "sim/scenarios.hpp"
 
 namespace {
@@ -22,6 +23,18 @@
   return weldsail::sim::print_capacity(plan, found->second, counts) == 0 ? 0 : 1;
 }
 
+int run_placing_size(const weldsail::sim::PlacingSize& size) {
+  const auto cost = weldsail::sim::measure_placing(size);
+  std::cout << "workers=" << size.workers << " models=" << size.models << " nodes=" << size.nodes
+            << " seed=" << size.seed << " processor_ms_s=" << cost.processor_ms_s << " began=" << cost.began << "\n";
+  for (const auto& [kind, work] : cost.kinds)
+    std::cout << "  " << kind << " count=" << work.count << " us_each="
+              << static_cast<double>(work.nanoseconds) / 1e3 /
+                     static_cast<double>(std::max<std::uint64_t>(1, work.count))
+              << " ms=" << static_cast<double>(work.nanoseconds) / 1e6 << " bytes=" << work.bytes << "\n";
+  return 0;
+}
+
 }  // namespace
 
 int main(int count, char** arguments) {
@@ -41,8 +54,13 @@
   TCLAP::ValueArg<std::string> vary("", "vary", "capacity: what differs between the fleets", false, "nodes",
                                     "nodes|workers|models|routes", line);
   TCLAP::MultiArg<std::size_t> counts("", "count", "capacity: one measured count each", false, "count", line);
-  TCLAP::ValueArg<std::size_t> nodes("", "nodes", "capacity: nodes where they don't differ", false, 30, "count", line);
-  TCLAP::ValueArg<weldsail::Moment> length("", "length-ms", "capacity: measured time", false, 10000, "ms", line);
+  TCLAP::ValueArg<std::size_t> nodes("", "nodes", "capacity: nodes where they don't differ; placing: data nodes", false,
+                                     30, "count", line);
+  TCLAP::ValueArg<std::size_t> workers("", "workers", "placing: measure costs of a fleet with so many workers", false,
+                                       12, "count", line);
+  TCLAP::ValueArg<std::size_t> models("", "models", "placing: models of that fleet", false, 39, "count", line);
+  TCLAP::ValueArg<weldsail::Moment> length("", "length-ms", "capacity, placing: measured time", false, 10000, "ms",
+                                           line);
   line.parse(count, arguments);
   if (scenario.getValue() == "capacity") {
     weldsail::sim::CapacityPlan plan;
@@ -53,6 +71,9 @@
     return run_capacity(plan, vary.getValue(),
                         counts.isSet() ? counts.getValue() : std::vector<std::size_t>{30, 100, 300, 1000});
   }
+  if (scenario.getValue() == "placing" && workers.isSet())
+    return run_placing_size(
+        {first.getValue(), workers.getValue(), models.getValue(), nodes.getValue(), length.getValue()});
   const auto found = scenarios.find(scenario.getValue());
   if (found == scenarios.end()) {
     std::cerr << "wssim: no such scenario\n";
