--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -158,14 +158,9 @@
 }  // namespace
 
 PlacingContext control_placing(ControlState& state, Moment now) {
-  return {state.member,
-          state.formation.core,
-          state.paths ? &*state.paths : nullptr,
-          state.owners[placement_key],
-          state.numbers,
-          *state.options.dialect,
-          state.options.limits,
-          now};
+  return {state.member,           state.formation.core,        state.paths ? &*state.paths : nullptr,
+          state.document_version, state.owners[placement_key], state.numbers,
+          *state.options.dialect, state.options.limits,        now};
 }
 
 void control_signal(ControlState& state, RegisterState& owner, RegisterSignal what, Moment now, Effects& effects) {
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -80,6 +80,9 @@
 ControlState make_control(const ControlOptions& options);
 /// One step of a control-plane process.
 Effects reduce(ControlState& state, const Event& event, Moment now);
+/// True for work that may wait behind all else: what workers and the platform's list answer, what callers ask for, and
+/// the view. Leases, votes, heartbeats and the configuration never wait for these.
+bool may_wait(const ControlState& state, const Event& event);
 /// The process's status document.
 std::string control_status_text(const ControlState& state, Moment now);
 
--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -19,6 +19,13 @@
 
 }  // namespace
 
+bool may_wait(const ControlState&, const Event& event) {
+  if (const auto* message = std::get_if<MessageArrived>(&event))
+    return message->envelope.has_counter_report() || message->envelope.has_fleet_ask();
+  return std::holds_alternative<PipeHead>(event) || std::holds_alternative<PipeBytes>(event) ||
+         std::holds_alternative<PipeEnded>(event);
+}
+
 void control_use_drains(ControlState& state, const wire::Placement& placement) {
   static const std::string node = "node:";
   state.duty.drained.clear();
--- a/src/core/placement/adapters.cpp
+++ b/src/core/placement/adapters.cpp
@@ -10,11 +10,15 @@
 /// How much callers of the service's models wish for each adapter.
 std::map<Adapter, double> wishes_of(const PlanInput& input, const PathService& service) {
   std::map<Adapter, double> wishes;
-  for (const auto& [model, options] : service.models) {
-    const auto found = input.wants.find(unit_name(service.name, model));
-    if (found == input.wants.end()) continue;
-    for (const auto& [adapter, weight] : found->second.adapters) wishes[{model, adapter}] = weight;
-  }
+  const auto add = [&](const std::string& unit) {
+    const auto found = input.wants.find(unit);
+    if (found == input.wants.end() || unit_service(input.paths, unit) != &service) return;
+    for (const auto& [adapter, weight] : found->second.adapters) wishes[{unit_model(unit), adapter}] = weight;
+  };
+  if (input.wished != nullptr)
+    std::ranges::for_each(*input.wished, add);
+  else
+    for (const auto& [unit, wants] : input.wants) add(unit);
   return wishes;
 }
 
@@ -43,8 +47,9 @@
 void place_adapter(HolderPlan& plan, const PlanInput& input, const PathService& service, const Adapter& adapter,
                    const std::map<Adapter, double>& wishes) {
   std::optional<AdapterPlace> best;
-  for (const auto& [identity, worker] : plan.workers) {
-    if (worker.service != service.name || !worker.models.contains(adapter.first)) continue;
+  for (const auto& identity : planned_holders(plan, unit_name(service.name, adapter.first))) {
+    const auto& worker = plan.workers.at(identity);
+    if (input.work != nullptr) ++input.work->workers;
     if (worker.adapters.contains(adapter)) return;
     const auto& book = input.books.at(identity);
     if (!book_holds(book, adapter.first) || book_stuck(input, book)) continue;
@@ -61,6 +66,7 @@
   auto& worker = plan.workers.at(best->identity);
   if (best->victim) worker.adapters.erase(*best->victim);
   worker.adapters.insert(adapter);
+  plan_touch_worker(plan, best->identity);
 }
 
 }  // namespace
--- a/src/core/placement/book.cpp
+++ b/src/core/placement/book.cpp
@@ -6,6 +6,17 @@
 namespace weldsail {
 namespace {
 
+/// True when the book says just that already.
+bool says(const WorkerBook& book, const auto& models) {
+  if (book.held.size() != static_cast<std::size_t>(models.size())) return false;
+  return std::ranges::all_of(models, [&](const auto& model) {
+    const auto held = book.held.find(model.name());
+    const auto revision = book.revisions.find(model.name());
+    return held != book.held.end() && revision != book.revisions.end() && revision->second == model.revision() &&
+           held->second == std::set<std::string>(model.adapters().begin(), model.adapters().end());
+  });
+}
+
 void hold(WorkerBook& book, const auto& models) {
   book.held.clear();
   book.revisions.clear();
@@ -23,16 +34,19 @@
 
 }  // namespace
 
-bool books_list(Books& books, const std::vector<wire::WorkerEntry>& workers, Moment asked, Effects& effects) {
-  bool changed = false;
+ListChange books_list(Books& books, const std::vector<wire::WorkerEntry>& workers, Moment asked, Effects& effects) {
+  ListChange change;
   std::set<std::string> listed;
   for (const auto& worker : workers) {
     listed.insert(worker.identity());
     const auto [found, fresh] = books.try_emplace(worker.identity());
     auto& book = found->second;
-    changed |= fresh || book.entry.draining() != worker.draining() || book.entry.address() != worker.address();
+    change.workers |= fresh || book.entry.draining() != worker.draining() || book.entry.address() != worker.address();
+    if (fresh) change.holdings.insert(worker.identity());
     book.entry = worker;
-    if (asked >= book.lists_from && !book.order) hold(book, worker.models());
+    if (asked < book.lists_from || book.order || says(book, worker.models())) continue;
+    change.holdings.insert(worker.identity());
+    hold(book, worker.models());
   }
   for (auto book = books.begin(); book != books.end();) {
     if (listed.contains(book->first)) {
@@ -41,9 +55,9 @@
     }
     if (book->second.pipe != 0) effects.push_back(CancelPipe{book->second.pipe});
     book = books.erase(book);
-    changed = true;
+    change.workers = true;
   }
-  return changed;
+  return change;
 }
 
 void book_holdings(WorkerBook& book, const std::vector<wire::HeldModel>& models, const Limits& limits, Moment now) {
--- a/src/core/placement/book.hpp
+++ b/src/core/placement/book.hpp
@@ -53,9 +53,16 @@
 /// Books by identity.
 using Books = std::map<std::string, WorkerBook>;
 
-/// Takes a whole list: books of workers that are gone are closed, their pipes dropped; true when a worker came or went
-/// or began to leave.
-bool books_list(Books& books, const std::vector<wire::WorkerEntry>& workers, Moment asked, Effects& effects);
+/// What a list changed.
+struct ListChange {
+  /// A worker came or went, began to leave or has another address.
+  bool workers = false;
+  /// Identities of those that came or hold something else than the book said.
+  std::set<std::string> holdings;
+};
+
+/// Takes a whole list: books of workers that are gone are closed, their pipes dropped.
+ListChange books_list(Books& books, const std::vector<wire::WorkerEntry>& workers, Moment asked, Effects& effects);
 /// Takes what the worker holds now; lists asked for before that and twice their lateness tell nothing newer.
 void book_holdings(WorkerBook& book, const std::vector<wire::HeldModel>& models, const Limits& limits, Moment now);
 /// Megabytes that its models and adapters take, with what may be on its way there.
--- a/src/core/placement/command.hpp
+++ b/src/core/placement/command.hpp
@@ -11,6 +11,8 @@
   /// No order leaves sooner: a former holder may have ordered up to now.
   Moment orders_from = 0;
   Books books;
+  /// Identities of all books with an order or a report that failed; some others may be among them.
+  std::set<std::string> watched;
   std::map<std::uint64_t, std::string> pipes;
   StoreShare store;
   /// Units whose unload came to nothing.
@@ -32,12 +34,13 @@
 void command_begin(CommandState& state, std::uint64_t fence, std::string holder, Moment orders_from, Moment now);
 /// Drops all pipes.
 void command_end(CommandState& state, Effects& effects);
-/// Takes a whole list; true when a worker came or went or began to leave.
-bool command_list(CommandState& state, const std::vector<wire::WorkerEntry>& workers, Moment asked, Effects& effects);
+/// Takes a whole list.
+ListChange command_list(CommandState& state, const std::vector<wire::WorkerEntry>& workers, Moment asked,
+                        Effects& effects);
 /// True when the next word to the worker may leave.
 bool command_free(const WorkerBook& book, Moment now);
-/// Asks for reports that show the end of orders; true when an order has ended without one.
-bool command_tick(CommandState& state, const CommandContext& context, Effects& effects);
+/// Asks for reports that show the end of orders; identities of those whose order has ended without one.
+std::vector<std::string> command_tick(CommandState& state, const CommandContext& context, Effects& effects);
 /// Gives an order when the worker, its room and the store allow it; a report is asked for first where one is missing.
 /// True when the order or the ask has left.
 bool command_give(CommandState& state, WorkerBook& book, WorkerOrder order, const CommandContext& context,
--- a/src/core/placement/counts.cpp
+++ b/src/core/placement/counts.cpp
@@ -36,18 +36,13 @@
   return since && static_cast<double>(now - *since) >= limit_s * 1000;
 }
 
-bool held_beyond_plan(const HolderPlan& plan, const PlanInput& input, const std::string& unit) {
-  return std::ranges::any_of(plan.workers, [&](const auto& item) {
-    return item.second.service == unit_cell(unit) && !item.second.models.contains(unit_model(unit)) &&
-           book_holds(input.books.at(item.first), unit_model(unit));
-  });
-}
-
 double need(double missed, double generated, const ScalerOptions& options) {
   return missed / options.prefill_tokens_per_s + generated / options.decode_tokens_per_s;
 }
 
-void move_count(wire::HolderCount& count, CountClocks& clocks, std::int64_t chosen, Moment now, Effects& effects) {
+void move_count(HolderPlan& plan, const std::string& unit, CountClocks& clocks, std::int64_t chosen, Moment now,
+                Effects& effects) {
+  auto& count = plan.counts.at(unit);
   const auto before = count.count();
   if (chosen == before) return;
   count.set_count(static_cast<std::uint32_t>(chosen));
@@ -59,6 +54,7 @@
     count.set_shrunk_from(before);
     count.set_retiring(true);
   }
+  plan_touch_unit(plan, unit);
   note(effects, "scaler.count",
        {{"unit", unit_name(count.service(), count.model())},
         {"from", text_of(before)},
@@ -168,11 +164,13 @@
 
 void counts_settle(HolderPlan& plan, CountClocksByUnit& clocks, std::vector<std::string>& aborted,
                    const PlanInput& input, const Limits& limits, Effects& effects) {
-  for (auto& [unit, count] : plan.counts) {
+  for (const auto& unit : std::set(plan_index(plan).unsettled)) {
+    if (input.work != nullptr) ++input.work->units;
+    auto& count = plan.counts.at(unit);
     auto& own = clocks[unit];
+    const auto before = count.SerializeAsString();
     const auto* service = unit_service(input.paths, unit);
-    const bool flags = count.pending() || count.retiring() || count.cooling();
-    if (!flags || service == nullptr) continue;
+    if (service == nullptr) continue;
     const auto options = count_options(limits, input.paths, *service);
     if (count.pending()) {
       if (!own.pending_since) own.pending_since = input.now;
@@ -207,6 +205,7 @@
         own.cooling_since.reset();
       }
     }
+    if (count.SerializeAsString() != before) plan_touch_unit(plan, unit);
   }
   aborted.clear();
 }
@@ -235,7 +234,7 @@
     const std::int64_t least = std::min<std::int64_t>(count.count(), 1);
     const ModelOptions bounds{0, {least, workers[service->name]}, {least, workers[service->name]}, 0};
     const auto chosen = scaler_constrain(own.history, {advice, advice}, standing, bounds, found->second, input.now);
-    move_count(count, own, chosen.prefill, input.now, effects);
+    move_count(plan, unit, own, chosen.prefill, input.now, effects);
   }
 }
 
--- /dev/null
+++ b/src/core/placement/decide.cpp
@@ -0,0 +1,99 @@
+#include <algorithm>
+
+#include "core/placement/placing.hpp"
+
+namespace weldsail {
+namespace {
+
+/// Ratios to the contact bound.
+constexpr Moment urgent_passes_per_bound = 6;
+constexpr Moment unserved_part = 4;
+constexpr double spare_loads = 2;
+constexpr std::uint64_t samples_most = 64;
+/// Units that are given places in one turn; the rest follows with the next.
+constexpr std::size_t places_a_turn = 24;
+
+/// The draft becomes what is committed again.
+void drop_draft(PlacingState& state) {
+  state.draft = state.plan;
+  state.draft.touched_units.clear();
+  state.draft.touched_workers.clear();
+  state.align_due = true;
+}
+
+void propose(PlacingState& state, const PlacingContext& context, Effects& effects) {
+  if (state.draft.touched_units.empty() && state.draft.touched_workers.empty()) return;
+  auto next = state.committed;
+  write_plan(state.draft, next);
+  if (next.SerializeAsString() == context.owner.value) return plan_follow(state.plan, state.draft);
+  next.set_decision(next.decision() + 1);
+  next.set_term(state.term);
+  state.proposed = next.SerializeAsString();
+  state.next = std::move(next);
+  if (!register_propose(context.owner, context.member, context.core, state.proposed, context.now, effects))
+    drop_draft(state);
+}
+
+/// The next pass comes soon.
+void hurry(PlacingState& state) {
+  state.next_pass = std::min(state.next_pass, state.last_pass + state.bound / urgent_passes_per_bound);
+}
+
+/// Calls for a pass where holders are crowded, and for reports of those that leave requests waiting.
+void look_after(PlacingState& state, const std::string& unit, const PlacingContext& context, Effects& effects) {
+  const auto& want = state.wants.units.at(unit);
+  const auto* service = unit_service(*context.paths, unit);
+  const auto count = state.plan.counts.find(unit);
+  if (service != nullptr && count != state.plan.counts.end() &&
+      count_for_running(want.demand, *service) > count->second.count())
+    hurry(state);
+  if (want.demand.waiting == 0 || wants_oldest(want, context.now) < state.bound / unserved_part) return;
+  hurry(state);
+  const CommandContext command{*context.paths, context.dialect, context.limits, context.numbers, context.now};
+  for (const auto& identity : planned_holders(state.plan, unit))
+    if (const auto book = state.command.books.find(identity); book != state.command.books.end())
+      command_probe(state.command, book->second, command, effects);
+}
+
+}  // namespace
+
+PlanInput placing_input(PlacingState& state, const PlacingContext& context) {
+  const auto live = live_members(context.member, Program::data);
+  const auto told = std::ranges::count_if(
+      live, [&](const wire::Member* node) { return wants_heard(state.wants, node->node(), context.now); });
+  const bool known = told > 0 && static_cast<std::size_t>(told) * 2 >= live.size();
+  const bool spare = state.command.store.ready >= spare_loads && context.now >= state.next_fill;
+  PlanInput input{*context.paths, state.command.books, state.committed, state.wants.units, state.bound, known,
+                  spare,          context.now};
+  input.active = &state.wants.active;
+  input.wished = &state.wants.wished;
+  input.open_work = &state.open_work;
+  input.work = &state.work;
+  input.places_most = places_a_turn;
+  return input;
+}
+
+void placing_decide(PlacingState& state, const PlacingContext& context, Effects& effects) {
+  ++state.work.decisions;
+  const auto input = placing_input(state, context);
+  auto& draft = state.draft;
+  if (state.align_due) {
+    plan_align(draft, input);
+    state.align_due = false;
+    state.next_fill = context.now;
+  }
+  counts_settle(draft, state.clocks, state.command.aborted, input, context.limits, effects);
+  if (demand_ready(state.demand, context.now)) {
+    const auto pass = demand_close(state.demand, samples_most, {}, context.now);
+    counts_pass(draft, state.clocks, pass, input, context.limits, effects);
+  }
+  plan_models(draft, input, effects);
+  plan_adapters(draft, input);
+  const bool settled = draft.touched_units.empty() && draft.touched_workers.empty();
+  // Without a change there is no more free room than now.
+  if (input.store_spare && settled) state.next_fill = context.now + state.bound;
+  propose(state, context, effects);
+  for (const auto& unit : state.wants.active) look_after(state, unit, context, effects);
+}
+
+}  // namespace weldsail
--- a/src/core/placement/demand.cpp
+++ b/src/core/placement/demand.cpp
@@ -66,6 +66,11 @@
   if (state.open && report.round() == state.round) state.reports[envelope.from()] = report;
 }
 
+void demand_take_counters(DemandState& state, const wire::Envelope& envelope) {
+  const auto& report = envelope.counter_report();
+  if (state.open && report.round() == state.round) state.reports[envelope.from()] = report;
+}
+
 bool demand_ready(const DemandState& state, Moment now) {
   if (!state.open) return false;
   return now - state.asked >= state.bound / 3 || state.reports.size() >= state.expected.size();
@@ -81,26 +86,28 @@
   for (const auto node : state.expected)
     if (!state.reports.contains(node) || !state.baselines.contains(node)) pass.complete = false;
   SampledWorkers sampled;
-  for (const auto& [node, report] : state.reports) {
+  for (auto& [node, report] : state.reports) {
     const auto known = state.baselines.find(node);
     std::map<std::string, wire::Counter> fresh;
-    for (const auto& counter : report.counters()) {
+    for (auto& counter : *report.mutable_counters()) {
       const auto phase = phases.find(counter.worker());
       const auto role = counter.unit() + "|" + (phase == phases.end() ? "" : phase->second);
       if (!sampled.take(role, counter.worker(), sample_limit)) {
         pass.complete = false;
         continue;
       }
-      fresh[counter_key(counter)] = counter;
+      // Nodes tell their counters in this order, so that the place is mostly at the end.
+      auto& kept = fresh.emplace_hint(fresh.end(), counter_key(counter), wire::Counter())->second;
+      kept = std::move(counter);
       if (known == state.baselines.end()) continue;
-      const auto before = known->second.find(counter_key(counter));
-      const auto zero = wire::Counter();
+      static const wire::Counter zero;
+      const auto before = known->second.find(counter_key(kept));
       const auto& base = before == known->second.end() ? zero : before->second;
-      if (fallen(base, counter)) {
+      if (fallen(base, kept)) {
         pass.measured = pass.complete = false;
         continue;
       }
-      add_counter(pass.samples[counter.unit()], base, counter);
+      add_counter(pass.samples[kept.unit()], base, kept);
     }
     state.baselines[node] = std::move(fresh);
   }
--- a/src/core/placement/demand.hpp
+++ b/src/core/placement/demand.hpp
@@ -36,6 +36,8 @@
 void demand_ask(DemandState& state, const MemberState& member, Moment now, Effects& effects);
 /// Takes a report of counters or of backlogs.
 void demand_receive(DemandState& state, const wire::Envelope& envelope, Moment now);
+/// Takes a report's counters alone, where it answers the ask that is open.
+void demand_take_counters(DemandState& state, const wire::Envelope& envelope);
 /// True when all have answered or the time to answer is over.
 bool demand_ready(const DemandState& state, Moment now);
 /// Deltas since the last pass; the counters become the new baseline.
--- a/src/core/placement/describe.cpp
+++ b/src/core/placement/describe.cpp
@@ -45,10 +45,11 @@
 std::string placing_holds_text(const PlacingState& state, Moment now) {
   JsonText text;
   text.object().key("holds").array();
-  for (const auto& [unit, want] : placing_wants(state, now)) {
-    if (want.demand.waiting == 0 && want.demand.running == 0) continue;
+  for (const auto& unit : state.wants.active) {
+    const auto& want = state.wants.units.at(unit);
+    const auto oldest = want.demand.waiting > 0 ? wants_oldest(want, now) : 0;
     text.object().field("unit", unit).number("waiting", want.demand.waiting).number("running", want.demand.running);
-    text.number("oldest_ms", static_cast<std::uint64_t>(want.demand.oldest)).close();
+    text.number("oldest_ms", static_cast<std::uint64_t>(oldest)).close();
   }
   text.end().close();
   return text.text();
--- a/src/core/placement/enact.cpp
+++ b/src/core/placement/enact.cpp
@@ -36,11 +36,11 @@
   return std::nullopt;
 }
 
-Moment rank_of(const std::map<std::string, UnitWants>& wants, const std::string& unit) {
+Moment rank_of(const WantsByUnit& wants, const std::string& unit, Moment now) {
   const auto found = wants.find(unit);
   if (found == wants.end()) return std::numeric_limits<Moment>::max();
-  const auto& demand = found->second.demand;
-  return demand.waiting > 0 ? -demand.oldest - 1 : demand.quiet;
+  const bool waits = found->second.demand.waiting > 0;
+  return waits ? -wants_oldest(found->second, now) - 1 : wants_quiet(found->second, now);
 }
 
 bool settled(const WorkerBook& book, const PlannedWorker& planned) {
@@ -52,15 +52,15 @@
 }
 
 void add_candidates(std::vector<Candidate>& candidates, const PlacingState& state, const WorkerBook& book,
-                    const PlannedWorker& planned, const PathService& service,
-                    const std::map<std::string, UnitWants>& wants, Moment now) {
+                    const PlannedWorker& planned, const PathService& service, Moment now) {
   const auto& identity = book.entry.identity();
   if (auto order = adapter_order(book, planned, service)) candidates.push_back({{0, 0}, identity, std::move(*order)});
   bool lacks = false;
   for (const auto& model : planned.models) {
     if (book_holds(book, model)) continue;
     lacks = true;
-    candidates.push_back({{1, rank_of(wants, unit_name(service.name, model))}, identity, make_order(true, model)});
+    candidates.push_back(
+        {{1, rank_of(state.wants.units, unit_name(service.name, model), now)}, identity, make_order(true, model)});
   }
   for (const auto& [model, adapters] : book.held) {
     if (planned.models.contains(model)) continue;
@@ -74,78 +74,51 @@
 
 void placing_enact(PlacingState& state, const PlacingContext& context, Effects& effects) {
   std::vector<Candidate> candidates;
-  std::map<std::string, UnitWants> wants;
-  for (const auto& [identity, planned] : state.plan.workers) {
-    const auto found = state.command.books.find(identity);
-    const auto service = context.paths->services.find(planned.service);
-    if (found == state.command.books.end() || service == context.paths->services.end()) continue;
+  for (auto item = state.open_work.begin(); item != state.open_work.end();) {
+    ++state.work.workers;
+    const auto planned = state.plan.workers.find(*item);
+    const auto found = state.command.books.find(*item);
+    const bool known = planned != state.plan.workers.end() && found != state.command.books.end();
+    if (!known || settled(found->second, planned->second)) {
+      item = state.open_work.erase(item);
+      continue;
+    }
+    ++item;
+    const auto service = context.paths->services.find(planned->second.service);
+    if (service == context.paths->services.end()) continue;
     if (!command_free(found->second, context.now) || found->second.failures > 0) continue;
-    if (settled(found->second, planned)) continue;
-    if (wants.empty()) wants = placing_wants(state, context.now);
-    add_candidates(candidates, state, found->second, planned, service->second, wants, context.now);
+    add_candidates(candidates, state, found->second, planned->second, service->second, context.now);
   }
   std::ranges::stable_sort(candidates, {}, &Candidate::rank);
   const CommandContext command{*context.paths, context.dialect, context.limits, context.numbers, context.now};
   for (auto& candidate : candidates)
     if (command_give(state.command, state.command.books.at(candidate.identity), std::move(candidate.order), command,
                      effects))
-      state.unseen = true;
+      state.unseen.insert(candidate.identity);
 }
 
-std::map<std::string, UnitWants> placing_wants(const PlacingState& state, Moment now) {
-  std::map<std::string, UnitWants> wants;
-  for (const auto& [unit, last] : state.last_used) wants[unit].demand.quiet = now - last;
-  std::map<std::string, std::map<std::string, double>> wishes;
-  for (const auto& [node, heard] : state.demand.backlogs) {
-    const auto age = now - heard.heard;
-    if (age > state.bound) continue;
-    for (const auto& backlog : heard.report.backlogs()) {
-      auto& demand = wants[backlog.unit()].demand;
-      demand.waiting += backlog.waiting();
-      demand.running += backlog.running();
-      demand.prompt_tokens += static_cast<double>(backlog.prompt_tokens());
-      demand.generation_tokens += static_cast<double>(backlog.generation_tokens());
-      if (backlog.waiting() > 0)
-        demand.oldest = std::max(demand.oldest, static_cast<Moment>(backlog.oldest_ms()) + age);
-      double rank = 1;
-      for (const auto& adapter : backlog.adapters()) wishes[backlog.unit()][adapter] += 1 / rank++;
-    }
-  }
-  for (const auto& [unit, adapters] : wishes) {
-    auto& list = wants[unit].adapters;
-    list.assign(adapters.begin(), adapters.end());
-    std::ranges::stable_sort(list, std::greater<>(), &std::pair<std::string, double>::second);
-  }
-  return wants;
-}
-
-std::vector<wire::WorkerEntry> placing_view(PlacingState& state, const PlanInput& input) {
-  std::vector<wire::WorkerEntry> view;
-  for (auto& [identity, book] : state.command.books) {
-    auto entry = book.entry;
-    entry.clear_models();
-    entry.set_draining(!book_usable(input, book));
-    const auto planned = state.plan.workers.find(identity);
-    std::erase_if(book.hidden, [&](const auto& item) { return !book.held.contains(item.first); });
-    for (const auto& [model, adapters] : book.held) {
-      const bool stays =
-          book_holds(book, model) && (planned == state.plan.workers.end() || planned->second.models.contains(model));
-      if (!stays) {
-        book.hidden.try_emplace(model, input.now);
-        continue;
-      }
-      book.hidden.erase(model);
-      auto* held = entry.add_models();
-      held->set_name(model);
-      held->set_revision(book.revisions[model]);
-      for (const auto& adapter : adapters)
-        if (book_holds(book, model, adapter) &&
-            (planned == state.plan.workers.end() || planned->second.adapters.contains({model, adapter})))
-          held->add_adapters(adapter);
+wire::WorkerEntry placing_entry(const PlacingState& state, WorkerBook& book, const PlanInput& input) {
+  auto entry = book.entry;
+  entry.clear_models();
+  entry.set_draining(!book_usable(input, book));
+  const auto found = state.plan.workers.find(book.entry.identity());
+  const auto* planned = found == state.plan.workers.end() ? nullptr : &found->second;
+  std::erase_if(book.hidden, [&](const auto& item) { return !book.held.contains(item.first); });
+  for (const auto& [model, adapters] : book.held) {
+    const bool stays = book_holds(book, model) && (planned == nullptr || planned->models.contains(model));
+    if (!stays) {
+      book.hidden.try_emplace(model, input.now);
+      continue;
     }
-    view.push_back(std::move(entry));
+    book.hidden.erase(model);
+    auto* held = entry.add_models();
+    held->set_name(model);
+    held->set_revision(book.revisions[model]);
+    for (const auto& adapter : adapters)
+      if (book_holds(book, model, adapter) && (planned == nullptr || planned->adapters.contains({model, adapter})))
+        held->add_adapters(adapter);
   }
-  return view;
+  return entry;
 }
 
 }  // namespace weldsail
--- /dev/null
+++ b/src/core/placement/places.cpp
@@ -0,0 +1,157 @@
+#include "core/placement/places.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace weldsail {
+namespace {
+
+/// A model comes from a worker's own disk in about this share of its time from the store.
+constexpr double disk_share = 0.2;
+constexpr Moment never_used = std::numeric_limits<Moment>::max() / 8;
+/// Ratios to the bound.
+constexpr Moment unload_part = 15;
+constexpr Moment least_quiet_part = 10;
+constexpr Moment wanted_quiet_part = 2;
+constexpr Moment zone_part = 60;
+constexpr Moment running_part = 600;
+/// A victim must have been quiet for this many times as long as the one that takes its room.
+constexpr Moment quieter = 2;
+
+double load_time(const PathService& service, const WorkerBook& book, const std::string& model) {
+  const auto found = service.models.find(model);
+  const auto full = found == service.models.end() ? 0.0 : static_cast<double>(found->second.load_time);
+  return book.had.contains(model) ? full * disk_share : full;
+}
+
+std::map<std::string, std::size_t> localities_of(const PlanInput& input, const std::vector<std::string>& holders) {
+  std::map<std::string, std::size_t> localities;
+  for (const auto& holder : holders) ++localities[input.books.at(holder).entry.locality()];
+  return localities;
+}
+
+}  // namespace
+
+const UnitWants& plan_wants(const PlanInput& input, const std::string& unit) {
+  static const auto none = [] {
+    UnitWants wants;
+    wants.demand.quiet = never_used;
+    return wants;
+  }();
+  const auto found = input.wants.find(unit);
+  return found == input.wants.end() ? none : found->second;
+}
+
+PlaceSearch::Site PlaceSearch::gather(const PathService& service, const PlannedWorker& worker,
+                                      const WorkerBook& book) const {
+  Site site{&book, &worker, {}, 0, book_room_taken(book, service), 0};
+  for (const auto& model : worker.models) {
+    Resident resident{unit_name(service.name, model), nullptr, model_weights(service, model), 0, false};
+    resident.wants = &plan_wants(input_, resident.unit);
+    const auto options = service.models.find(model);
+    if (options != service.models.end()) resident.load_time = static_cast<double>(options->second.load_time);
+    if (const auto count = plan_.counts.find(resident.unit); count != plan_.counts.end())
+      resident.cooling = count->second.cooling();
+    const auto holders = std::max<std::size_t>(1, planned_holders(plan_, resident.unit).size());
+    site.planned_weights += resident.weights;
+    if (!book_holds(book, model)) site.cost += load_time(service, book, model);
+    site.cost += static_cast<double>(resident.wants->demand.running) / static_cast<double>(holders) *
+                 static_cast<double>(input_.bound / running_part);
+    site.residents.push_back(std::move(resident));
+  }
+  return site;
+}
+
+PlaceSearch::Sites& PlaceSearch::sites_of(const std::string& service) {
+  const auto [found, fresh] = sites_.try_emplace(service);
+  if (!fresh) return found->second;
+  const auto& options = input_.paths.services.at(service);
+  for (const auto& [identity, worker] : plan_.workers) {
+    if (input_.work != nullptr) ++input_.work->searched;
+    if (worker.service != service) continue;
+    const auto& book = input_.books.at(identity);
+    if (!book_stuck(input_, book)) found->second.emplace(identity, gather(options, worker, book));
+  }
+  return found->second;
+}
+
+void PlaceSearch::changed(const std::string& identity) {
+  const auto& worker = plan_.workers.at(identity);
+  const auto sites = sites_.find(worker.service);
+  if (sites == sites_.end()) return;
+  const auto site = sites->second.find(identity);
+  if (site == sites->second.end()) return;
+  site->second = gather(input_.paths.services.at(worker.service), worker, input_.books.at(identity));
+}
+
+std::int64_t PlaceSearch::free_room(const std::string& service) {
+  const auto room = input_.paths.services.at(service).room_mb;
+  std::int64_t most = 0;
+  for (const auto& [identity, site] : sites_of(service)) most = std::max(most, room - site.planned_weights);
+  return most;
+}
+
+bool PlaceSearch::may_give_way(const Resident& resident, const UnitWants& taker) const {
+  const auto& demand = resident.wants->demand;
+  if (!input_.demand_known || demand.running > 0 || demand.waiting > 0 || resident.cooling) return false;
+  const auto needed =
+      std::max(input_.bound / least_quiet_part, (input_.bound - wants_oldest(taker, input_.now)) / wanted_quiet_part);
+  const bool in_use = taker.demand.waiting > 0 || taker.demand.running > 0;
+  const auto own = in_use ? 0 : wants_quiet(taker, input_.now);
+  const auto quiet = wants_quiet(*resident.wants, input_.now);
+  return quiet >= needed && quiet / quieter >= own;
+}
+
+std::optional<std::vector<const PlaceSearch::Resident*>> PlaceSearch::victims_at(const Site& site,
+                                                                                 const PathService& service,
+                                                                                 std::int64_t weights,
+                                                                                 const UnitWants& taker) const {
+  auto lacking = site.planned_weights + weights - service.room_mb;
+  std::vector<const Resident*> victims;
+  if (lacking <= 0) return victims;
+  std::vector<std::pair<Moment, const Resident*>> quiet;
+  for (const auto& resident : site.residents)
+    if (may_give_way(resident, taker)) quiet.emplace_back(-wants_quiet(*resident.wants, input_.now), &resident);
+  std::ranges::stable_sort(quiet, {}, &std::pair<Moment, const Resident*>::first);
+  for (const auto& [rank, resident] : quiet) {
+    if (lacking <= 0) break;
+    victims.push_back(resident);
+    lacking -= resident->weights;
+  }
+  if (lacking > 0) return std::nullopt;
+  return victims;
+}
+
+std::optional<Place> PlaceSearch::best(const std::string& unit, bool evict) {
+  const auto& service = *unit_service(input_.paths, unit);
+  const auto model = unit_model(unit);
+  const auto weights = model_weights(service, model);
+  const auto& taker = plan_wants(input_, unit);
+  const auto localities = localities_of(input_, planned_holders(plan_, unit));
+  const auto bound = static_cast<double>(input_.bound);
+  std::optional<Place> best;
+  for (const auto& [identity, site] : sites_of(service.name)) {
+    if (input_.work != nullptr) ++input_.work->searched;
+    if (!evict && site.planned_weights + weights > service.room_mb) continue;
+    if (site.planned->models.contains(model)) continue;
+    const auto victims = victims_at(site, service, weights, taker);
+    if (!victims) continue;
+    double cost = 0;
+    if (!book_holds(*site.book, model)) {
+      cost = load_time(service, *site.book, model) + site.cost;
+      if (site.room_taken + weights > service.room_mb) cost += static_cast<double>(input_.bound / unload_part);
+      for (const auto* victim : *victims) {
+        const auto quiet = static_cast<double>(wants_quiet(*victim->wants, input_.now));
+        cost += victim->load_time * bound / (bound + quiet);
+      }
+      if (const auto near = localities.find(site.book->entry.locality()); near != localities.end())
+        cost += static_cast<double>(near->second) * static_cast<double>(input_.bound / zone_part);
+    }
+    if (best && cost >= best->cost) continue;
+    best = Place{identity, {}, cost};
+    for (const auto* victim : *victims) best->victims.push_back(victim->unit);
+  }
+  return best;
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/placement/places.hpp
@@ -0,0 +1,60 @@
+#pragma once
+#include "core/placement/plan.hpp"
+
+namespace weldsail {
+
+/// A place for a unit, with the units that give way there.
+struct Place {
+  std::string identity;
+  std::vector<std::string> victims;
+  /// Milliseconds until the model may be there, with what the move costs others in the same measure.
+  double cost = 0;
+};
+
+/// The search for places within one turn: what it needs of each worker is gathered once, on the first search.
+class PlaceSearch {
+ public:
+  explicit PlaceSearch(const PlanInput& input, const HolderPlan& plan) : input_(input), plan_(plan) {}
+  /// The cheapest place for one more holder of the unit; none where no worker has room, or can make room if `evict`.
+  std::optional<Place> best(const std::string& unit, bool evict);
+  /// The worker is to hold other models than when it was gathered.
+  void changed(const std::string& identity);
+  /// Megabytes that the service's emptiest worker has free in the plan.
+  std::int64_t free_room(const std::string& service);
+
+ private:
+  /// A model that a worker is to hold.
+  struct Resident {
+    std::string unit;
+    const UnitWants* wants = nullptr;
+    std::int64_t weights = 0;
+    double load_time = 0;
+    bool cooling = false;
+  };
+  /// A worker that may be given models.
+  struct Site {
+    const WorkerBook* book = nullptr;
+    const PlannedWorker* planned = nullptr;
+    std::vector<Resident> residents;
+    std::int64_t planned_weights = 0;
+    std::int64_t room_taken = 0;
+    /// The part of the cost that is the same for all units.
+    double cost = 0;
+  };
+  using Sites = std::map<std::string, Site>;
+
+  Sites& sites_of(const std::string& service);
+  Site gather(const PathService& service, const PlannedWorker& worker, const WorkerBook& book) const;
+  std::optional<std::vector<const Resident*>> victims_at(const Site& site, const PathService& service,
+                                                         std::int64_t weights, const UnitWants& taker) const;
+  bool may_give_way(const Resident& resident, const UnitWants& taker) const;
+
+  const PlanInput& input_;
+  const HolderPlan& plan_;
+  std::map<std::string, Sites> sites_;
+};
+
+/// Wants of a unit; one of which nothing is known counts as never used.
+const UnitWants& plan_wants(const PlanInput& input, const std::string& unit);
+
+}  // namespace weldsail
--- a/src/core/placement/placing.cpp
+++ b/src/core/placement/placing.cpp
@@ -8,13 +8,12 @@
 /// Ratios to the contact bound.
 constexpr Moment lists_per_ten_bounds = 33;
 constexpr Moment decisions_per_bound = 75;
+constexpr Moment waiting_decisions_per_bound = 30;
 constexpr Moment restless_decisions_per_bound = 6;
+constexpr Moment shows_per_bound = 60;
 constexpr Moment passes_per_bound = 3;
-constexpr Moment urgent_passes_per_bound = 6;
 constexpr Moment confirmed_part = 6;
 constexpr Moment orders_due_part = 10;
-constexpr Moment unserved_part = 4;
-constexpr double spare_loads = 2;
 
 bool holds(const PlacingState& state, const PlacingContext& context) {
   return state.term != 0 && context.owner.phase == OwnerPhase::holding && state.term == context.owner.epoch;
@@ -26,85 +25,78 @@
          context.now - context.owner.confirmed <= state.bound / confirmed_part;
 }
 
-PlanInput plan_input(const PlacingState& state, const PlacingContext& context,
-                     const std::map<std::string, UnitWants>& wants) {
-  const auto live = live_members(context.member, Program::data);
-  const auto told = std::ranges::count_if(live, [&](const wire::Member* node) {
-    const auto found = state.demand.backlogs.find(node->node());
-    return found != state.demand.backlogs.end() && context.now - found->second.heard <= state.bound;
-  });
-  const bool known = told > 0 && static_cast<std::size_t>(told) * 2 >= live.size();
-  const bool spare = state.command.store.ready >= spare_loads;
-  return {*context.paths, state.command.books, state.committed, wants, state.bound, known, spare, context.now};
-}
-
-void propose(PlacingState& state, const HolderPlan& plan, const PlacingContext& context, Effects& effects) {
-  auto next = state.committed;
-  write_plan(plan, next);
-  if (next.SerializeAsString() == state.committed.SerializeAsString()) return;
-  next.set_decision(next.decision() + 1);
-  next.set_term(state.term);
-  register_propose(context.owner, context.member, context.core, next.SerializeAsString(), context.now, effects);
-}
-
-/// The next pass comes soon.
-void hurry(PlacingState& state) {
-  state.next_pass = std::min(state.next_pass, state.last_pass + state.bound / urgent_passes_per_bound);
-}
-
-void decide(PlacingState& state, const PlacingContext& context, Effects& effects) {
-  const auto wants = placing_wants(state, context.now);
-  const auto input = plan_input(state, context, wants);
-  auto plan = state.plan;
-  plan_align(plan, input);
-  counts_settle(plan, state.clocks, state.command.aborted, input, context.limits, effects);
-  if (demand_ready(state.demand, context.now)) {
-    const auto pass = demand_close(state.demand, 64, {}, context.now);
-    counts_pass(plan, state.clocks, pass, input, context.limits, effects);
-  }
-  plan_models(plan, input, effects);
-  plan_adapters(plan, input);
-  propose(state, plan, context, effects);
-  for (const auto& [unit, want] : wants) {
-    const auto* service = unit_service(*context.paths, unit);
-    const auto count = state.plan.counts.find(unit);
-    if (service != nullptr && count != state.plan.counts.end() &&
-        count_for_running(want.demand, *service) > count->second.count())
-      hurry(state);
-    if (want.demand.waiting == 0 || want.demand.oldest < state.bound / unserved_part) continue;
-    hurry(state);
-    for (const auto& identity : planned_holders(state.plan, unit))
-      if (const auto book = state.command.books.find(identity); book != state.command.books.end())
-        command_probe(state.command, book->second,
-                      {*context.paths, context.dialect, context.limits, context.numbers, context.now}, effects);
-  }
+/// Reads the committed value whole.
+void adopt_value(PlacingState& state, const PlacingContext& context) {
+  state.committed.ParseFromString(context.owner.value);
+  state.draft = state.plan = read_plan(state.committed);
+  state.align_due = true;
+  placing_touch_all(state);
 }
 
-void show(PlacingState& state, const PlacingContext& context, Effects& effects) {
-  if (!state.unseen || !state.list.known || context.paths == nullptr) return;
-  state.unseen = false;
-  const std::map<std::string, UnitWants> none;
-  fleet_set(state.fleet, placing_view(state, plan_input(state, context, none)), state.list.asked, context.member,
-            context.now, effects);
+/// Time between decisions: shortest when something has changed, longer while only time passes.
+Moment decision_pace(const PlacingState& state) {
+  if (state.unsettled) return state.bound / decisions_per_bound;
+  return state.bound / (state.wants.waiting > 0 ? waiting_decisions_per_bound : restless_decisions_per_bound);
 }
 
 void take_list(PlacingState& state, const PlacingContext& context, Effects& effects) {
-  state.unsettled |= command_list(state.command, state.list.workers, state.list.asked, effects);
-  state.unseen = true;
+  const auto change = command_list(state.command, state.list.workers, state.list.asked, effects);
+  state.unsettled |= change.workers;
+  state.align_due |= change.workers;
+  state.open_work.insert(change.holdings.begin(), change.holdings.end());
+  for (const auto& [identity, book] : state.command.books) state.unseen.insert(identity);
+  for (const auto& known : state.fleet.workers) state.unseen.insert(known.identity());
   if (context.paths == nullptr)
     fleet_set(state.fleet, state.list.workers, state.list.asked, context.member, context.now, effects);
   const auto version = state.fleet.version;
-  show(state, context, effects);
+  const auto entries = state.work.entries;
+  placing_show(state, context, effects);
+  state.work.listed += state.work.entries - entries;
+  state.work.entries = entries;
   if (state.fleet.version == version) fleet_beat(state.fleet, context.member, context.now, effects);
 }
 
+void take_paths(PlacingState& state, const PlacingContext& context) {
+  if (state.paths_version == context.paths_version) return;
+  state.paths_version = context.paths_version;
+  state.align_due = state.unsettled = true;
+  placing_touch_all(state);
+}
+
 }  // namespace
 
+void placing_touch(PlacingState& state, const std::string& identity) {
+  state.open_work.insert(identity);
+  state.unseen.insert(identity);
+}
+
+void placing_touch_all(PlacingState& state) {
+  for (const auto& [identity, book] : state.command.books) placing_touch(state, identity);
+}
+
+void placing_show(PlacingState& state, const PlacingContext& context, Effects& effects) {
+  if (state.unseen.empty() || !state.list.known || context.paths == nullptr) return;
+  state.next_show = context.now + state.bound / shows_per_bound;
+  const auto input = placing_input(state, context);
+  std::vector<wire::WorkerEntry> entries;
+  std::vector<std::string> gone;
+  for (const auto& identity : state.unseen) {
+    ++state.work.entries;
+    const auto book = state.command.books.find(identity);
+    if (book == state.command.books.end())
+      gone.push_back(identity);
+    else
+      entries.push_back(placing_entry(state, book->second, input));
+  }
+  state.unseen.clear();
+  fleet_change(state.fleet, std::move(entries), gone, state.list.asked, context.member, context.now, effects);
+}
+
 void placing_begin(PlacingState& state, const PlacingContext& context, Effects& effects) {
   placing_end(state, effects);
   const auto bound = state.bound;
   state = {};
-  state.bound = state.fleet.bound = state.demand.bound = bound;
+  state.bound = state.fleet.bound = state.demand.bound = state.wants.bound = bound;
   state.term = context.owner.epoch;
   state.list.pace = context.limits.contact * 10 / lists_per_ten_bounds;
   fleet_begin(state.fleet, state.term);
@@ -115,17 +107,20 @@
                 first ? context.now : from, context.now);
   state.next_pass = context.now;
   state.unsettled = true;
-  state.committed.ParseFromString(context.owner.value);
-  state.plan = read_plan(state.committed);
+  adopt_value(state, context);
   note(effects, "placing.begin", {{"term", std::to_string(state.term)}});
 }
 
 void placing_committed(PlacingState& state, const PlacingContext& context, Effects& effects) {
   if (!holds(state, context)) return;
-  state.committed.ParseFromString(context.owner.value);
-  state.plan = read_plan(state.committed);
-  state.unseen = true;
-  show(state, context, effects);
+  const bool own = !state.proposed.empty() && context.owner.value == state.proposed;
+  state.proposed.clear();
+  if (!own) return adopt_value(state, context);
+  state.committed = std::move(state.next);
+  for (const auto& identity : state.draft.touched_workers) placing_touch(state, identity);
+  plan_follow(state.plan, state.draft);
+  state.next_fill = context.now;
+  if (context.now >= state.next_show) placing_show(state, context, effects);
 }
 
 void placing_tick(PlacingState& state, const PlacingContext& context, Effects& effects) {
@@ -133,24 +128,24 @@
   list_tick(state.list, context.limits, context.dialect, context.numbers, context.now, effects);
   fleet_tick(state.fleet, context.member, context.now, effects);
   if (context.paths == nullptr || !state.list.known) return;
+  take_paths(state, context);
+  wants_expire(state.wants, context.now);
   store_rate(state.command.store, *context.paths, context.limits, context.now);
   if (context.now >= state.next_pass && !state.demand.open) {
     state.last_pass = context.now;
     state.next_pass = context.now + state.bound * 2 / passes_per_bound;
     demand_ask(state.demand, context.member, context.now, effects);
   }
-  if (command_tick(state.command, {*context.paths, context.dialect, context.limits, context.numbers, context.now},
-                   effects))
-    state.unseen = true;
+  const CommandContext command{*context.paths, context.dialect, context.limits, context.numbers, context.now};
+  for (const auto& identity : command_tick(state.command, command, effects)) placing_touch(state, identity);
   state.unsettled |= demand_ready(state.demand, context.now);
-  const auto pace = state.bound / (state.unsettled ? decisions_per_bound : restless_decisions_per_bound);
-  if (!context.owner.proposal && context.now >= state.next_decision + pace) {
+  if (!context.owner.proposal && context.now >= state.next_decision + decision_pace(state)) {
     state.next_decision = context.now;
     state.unsettled = false;
-    decide(state, context, effects);
+    placing_decide(state, context, effects);
   }
   if (may_order(state, context)) placing_enact(state, context, effects);
-  show(state, context, effects);
+  if (context.now >= state.next_show) placing_show(state, context, effects);
 }
 
 void placing_pipe(PlacingState& state, const PlacingContext& context, const Event& event, Effects& effects) {
@@ -159,10 +154,11 @@
     take_list(state, context, effects);
   if (context.paths == nullptr) return;
   const CommandContext command{*context.paths, context.dialect, context.limits, context.numbers, context.now};
-  if (!command_pipe(state.command, event, command, effects)) return;
-  state.unsettled = state.unseen = true;
-  if (may_order(state, context)) placing_enact(state, context, effects);
-  show(state, context, effects);
+  // What follows from it is done at the next tick, for all workers that have answered by then.
+  const auto identity = command_pipe(state.command, event, command, effects);
+  if (!identity) return;
+  placing_touch(state, *identity);
+  state.unsettled = true;
 }
 
 void placing_message(PlacingState& state, const PlacingContext& context, const wire::Envelope& envelope,
@@ -170,13 +166,8 @@
   if (!holds(state, context)) return;
   if (envelope.has_fleet_ask()) fleet_asked(state.fleet, envelope, context.member, context.now, effects);
   if (!envelope.has_counter_report()) return;
-  demand_receive(state.demand, envelope, context.now);
-  for (const auto& backlog : envelope.counter_report().backlogs()) {
-    const bool used = backlog.waiting() > 0 || backlog.running() > 0;
-    auto& last = state.last_used[backlog.unit()];
-    last = std::max(last, used ? context.now : context.now - static_cast<Moment>(backlog.quiet_ms()));
-    state.unsettled |= backlog.waiting() > 0;
-  }
+  demand_take_counters(state.demand, envelope);
+  state.unsettled |= wants_take(state.wants, envelope.from(), envelope.counter_report(), context.now);
 }
 
 void placing_end(PlacingState& state, Effects& effects) {
--- a/src/core/placement/placing.hpp
+++ b/src/core/placement/placing.hpp
@@ -3,6 +3,7 @@
 #include "core/placement/counts.hpp"
 #include "core/placement/listing.hpp"
 #include "core/placement/view.hpp"
+#include "core/placement/wants.hpp"
 
 namespace weldsail {
 
@@ -13,20 +14,32 @@
   ListState list;
   FleetKeeper fleet;
   wire::Placement committed;
-  /// The committed placement, read.
+  /// The committed placement, read; orders and the view follow from it alone.
   HolderPlan plan;
+  /// The same with what has been decided since, which is proposed as a whole.
+  HolderPlan draft;
+  /// The proposal under way, and its bytes.
+  wire::Placement next;
+  std::string proposed;
   CommandState command;
   DemandState demand;
   CountClocksByUnit clocks;
-  /// When each unit was last in use, as far as data nodes told.
-  std::map<std::string, Moment> last_used;
+  WantsIndex wants;
   Moment next_pass = 0;
   Moment last_pass = 0;
   Moment next_decision = 0;
+  Moment next_show = 0;
+  Moment next_fill = 0;
   /// Something has changed that a plan is made from.
   bool unsettled = false;
-  /// Something has changed that the view shows.
-  bool unseen = false;
+  /// Workers, the configuration or operators' drains have changed since the draft was brought in line with them.
+  bool align_due = true;
+  std::uint64_t paths_version = 0;
+  /// Workers that may hold something else than the committed plan says.
+  std::set<std::string> open_work;
+  /// Workers of which the view may show something else than is known.
+  std::set<std::string> unseen;
+  PlanWork work;
 };
 
 /// What the duty needs from the rest of the node.
@@ -35,6 +48,8 @@
   const wire::Core& core;
   /// The configuration in force, or null.
   const PathConfig* paths;
+  /// Version of that configuration.
+  std::uint64_t paths_version;
   RegisterState& owner;
   PipeNumbers& numbers;
   const Dialect& dialect;
@@ -53,10 +68,18 @@
                      Effects& effects);
 /// Gives the orders that the committed plan asks for, the most urgent first.
 void placing_enact(PlacingState& state, const PlacingContext& context, Effects& effects);
-/// What callers ask for, by unit.
-std::map<std::string, UnitWants> placing_wants(const PlacingState& state, Moment now);
-/// All workers as data nodes should see them; models that are to go are left out.
-std::vector<wire::WorkerEntry> placing_view(PlacingState& state, const PlanInput& input);
+/// All that a plan is made from, as it is now.
+PlanInput placing_input(PlacingState& state, const PlacingContext& context);
+/// Changes the draft by what has changed around it, and proposes it.
+void placing_decide(PlacingState& state, const PlacingContext& context, Effects& effects);
+/// A worker as data nodes should see it; models that are to go are left out.
+wire::WorkerEntry placing_entry(const PlacingState& state, WorkerBook& book, const PlanInput& input);
+/// Tells data nodes of the workers whose entries have changed.
+void placing_show(PlacingState& state, const PlacingContext& context, Effects& effects);
+/// Every worker may hold or show something else than before.
+void placing_touch_all(PlacingState& state);
+/// The same for one worker.
+void placing_touch(PlacingState& state, const std::string& identity);
 /// Documents for operators: workers, counts with their holders, held requests.
 std::string placing_workers_text(const PlacingState& state);
 std::string placing_text(const PlacingState& state);
--- a/src/core/placement/plan.cpp
+++ b/src/core/placement/plan.cpp
@@ -17,10 +17,10 @@
     plan_hold(plan, book.entry.identity(), model);
     for (const auto& adapter : adapters) planned.adapters.emplace(model, adapter);
     const auto unit = unit_name(service.name, model);
-    auto& count = plan.counts[unit];
     const auto holders = static_cast<std::uint32_t>(planned_holders(plan, unit).size());
-    count.set_count(std::max(count.count(), holders));
+    plan_count(plan, unit, std::max(plan.counts[unit].count(), holders));
   }
+  plan_touch_worker(plan, book.entry.identity());
 }
 
 bool forget_unknown_models(PlannedWorker& planned, const PathService& service) {
@@ -31,6 +31,8 @@
 
 }  // namespace
 
+bool count_unsettled(const wire::HolderCount& count) { return count.pending() || count.retiring() || count.cooling(); }
+
 HolderPlan read_plan(const wire::Placement& placement) {
   HolderPlan plan;
   for (const auto& count : placement.counts()) plan.counts[unit_name(count.service(), count.model())] = count;
@@ -50,7 +52,8 @@
 void write_plan(const HolderPlan& plan, wire::Placement& placement) {
   placement.clear_counts();
   placement.clear_plans();
-  for (const auto& [unit, count] : plan.counts) *placement.add_counts() = count;
+  for (const auto& [unit, count] : plan.counts)
+    if (count.count() > 0 || count_unsettled(count)) *placement.add_counts() = count;
   for (const auto& [identity, worker] : plan.workers) {
     auto* item = placement.add_plans();
     item->set_identity(identity);
@@ -85,29 +88,12 @@
   return book.order && (book.order->doubtful || input.now - book.order->sent > stuck_bounds * input.bound);
 }
 
-void plan_hold(HolderPlan& plan, const std::string& identity, const std::string& model) {
-  auto& worker = plan.workers.at(identity);
-  if (!worker.models.insert(model).second || !plan.holders) return;
-  auto& holders = (*plan.holders)[unit_name(worker.service, model)];
-  holders.insert(std::ranges::lower_bound(holders, identity), identity);
+Moment wants_oldest(const UnitWants& wants, Moment now) {
+  return wants.waits_since ? now - *wants.waits_since : wants.demand.oldest;
 }
 
-void plan_leave(HolderPlan& plan, const std::string& identity, const std::string& model) {
-  auto& worker = plan.workers.at(identity);
-  std::erase_if(worker.adapters, [&](const auto& item) { return item.first == model; });
-  if (worker.models.erase(model) == 0 || !plan.holders) return;
-  std::erase((*plan.holders)[unit_name(worker.service, model)], identity);
-}
-
-const std::vector<std::string>& planned_holders(const HolderPlan& plan, const std::string& unit) {
-  static const std::vector<std::string> none;
-  if (!plan.holders) {
-    plan.holders.emplace();
-    for (const auto& [identity, worker] : plan.workers)
-      for (const auto& model : worker.models) (*plan.holders)[unit_name(worker.service, model)].push_back(identity);
-  }
-  const auto found = plan.holders->find(unit);
-  return found == plan.holders->end() ? none : found->second;
+Moment wants_quiet(const UnitWants& wants, Moment now) {
+  return wants.last_used ? now - *wants.last_used : wants.demand.quiet;
 }
 
 std::int64_t ready_holders(const HolderPlan& plan, const PlanInput& input, const std::string& unit) {
@@ -117,25 +103,48 @@
   });
 }
 
+bool held_beyond_plan(const HolderPlan& plan, const PlanInput& input, const std::string& unit) {
+  const auto service = unit_cell(unit);
+  const auto model = unit_model(unit);
+  const auto beyond = [&](const std::string& identity) {
+    if (input.work != nullptr) ++input.work->workers;
+    const auto worker = plan.workers.find(identity);
+    return worker != plan.workers.end() && worker->second.service == service &&
+           !worker->second.models.contains(model) && book_holds(input.books.at(identity), model);
+  };
+  if (input.open_work != nullptr) return std::ranges::any_of(*input.open_work, beyond);
+  return std::ranges::any_of(plan.workers, [&](const auto& item) { return beyond(item.first); });
+}
+
 void plan_align(HolderPlan& plan, const PlanInput& input) {
-  std::erase_if(plan.counts, [&](const auto& item) { return unit_service(input.paths, item.first) == nullptr; });
-  const auto gone = std::erase_if(plan.workers, [&](const auto& item) {
-    const auto book = input.books.find(item.first);
-    return book == input.books.end() || !book_usable(input, book->second) ||
-           !input.paths.services.contains(item.second.service);
-  });
-  bool changed = gone > 0;
-  for (auto& [identity, worker] : plan.workers)
-    changed |= forget_unknown_models(worker, input.paths.services.at(worker.service));
-  if (changed) plan.holders.reset();
+  for (auto count = plan.counts.begin(); count != plan.counts.end();) {
+    const auto current = count++;
+    if (unit_service(input.paths, current->first) != nullptr) continue;
+    plan.touched_units.insert(current->first);
+    plan.counts.erase(current);
+  }
+  for (auto worker = plan.workers.begin(); worker != plan.workers.end();) {
+    const auto current = worker++;
+    const auto book = input.books.find(current->first);
+    const auto service = input.paths.services.find(current->second.service);
+    const bool stays =
+        book != input.books.end() && book_usable(input, book->second) && service != input.paths.services.end();
+    if (stays && !forget_unknown_models(current->second, service->second)) continue;
+    plan.touched_workers.insert(current->first);
+    if (!stays) plan.workers.erase(current);
+  }
+  plan_reindex(plan);
   for (const auto& [identity, book] : input.books) {
     const auto service = input.paths.services.find(book.entry.service());
     if (service == input.paths.services.end() || service->second.models.empty()) continue;
     if (!plan.workers.contains(identity) && book_usable(input, book)) adopt(plan, service->second, book);
   }
   for (const auto& [unit, parts] : path_units(input.paths)) {
-    plan.counts[unit].set_service(parts.first);
-    plan.counts[unit].set_model(parts.second);
+    const auto [count, fresh] = plan.counts.try_emplace(unit);
+    if (!fresh && count->second.service() == parts.first) continue;
+    count->second.set_service(parts.first);
+    count->second.set_model(parts.second);
+    plan_touch_unit(plan, unit);
   }
 }
 
--- a/src/core/placement/plan.hpp
+++ b/src/core/placement/plan.hpp
@@ -12,19 +12,56 @@
   std::set<std::pair<std::string, std::string>> adapters;
 };
 
-/// Holder counts by unit, and what each worker is to hold, by identity.
+/// What is worked out from a plan when it is first asked for, and kept up to date by every change after that.
+struct PlanIndex {
+  /// Identities by unit, in order.
+  std::map<std::string, std::vector<std::string>> holders;
+  /// Units that have fewer or more holders than their count says.
+  std::set<std::string> uneven;
+  /// Units whose last change of count isn't over: pending, retiring or cooling.
+  std::set<std::string> unsettled;
+};
+
+/// Holder counts by unit, and what each worker is to hold, by identity. Changes go through the functions below.
 struct HolderPlan {
   std::map<std::string, wire::HolderCount> counts;
   std::map<std::string, PlannedWorker> workers;
-  /// Identities by unit, made when they are first asked for; `plan_hold` and `plan_leave` keep them.
-  mutable std::optional<std::map<std::string, std::vector<std::string>>> holders;
+  mutable std::optional<PlanIndex> index;
+  /// Units and workers that were changed since the plan was last proposed.
+  std::set<std::string> touched_units;
+  std::set<std::string> touched_workers;
 };
 
 /// What callers of a unit ask for, as far as data nodes tell.
 struct UnitWants {
+  /// Its ages are as of the moment at which the two moments below are given; else they are the ages themselves.
   UnitDemand demand;
   /// Adapters with the weight of the wish for each, the most wanted first.
   std::vector<std::pair<std::string, double>> adapters;
+  /// Arrival of the longest waiting request.
+  std::optional<Moment> waits_since = {};
+  /// The last moment at which the unit was in use.
+  std::optional<Moment> last_used = {};
+};
+
+/// Wants by unit.
+using WantsByUnit = std::map<std::string, UnitWants>;
+
+/// Milliseconds for which the longest waiting request has waited, and since the unit was last in use.
+Moment wants_oldest(const UnitWants& wants, Moment now);
+Moment wants_quiet(const UnitWants& wants, Moment now);
+
+/// What was visited, for tests and figures.
+struct PlanWork {
+  std::uint64_t decisions = 0;
+  /// Units and workers that were looked at because something of them had changed or is open.
+  std::uint64_t units = 0;
+  std::uint64_t workers = 0;
+  /// Entries of the view that were made for such a change, and for a whole list.
+  std::uint64_t entries = 0;
+  std::uint64_t listed = 0;
+  /// Workers and units that were looked at in search of a place for a model, or of free room.
+  std::uint64_t searched = 0;
 };
 
 /// All that a plan is made from.
@@ -32,17 +69,28 @@
   const PathConfig& paths;
   const Books& books;
   const wire::Placement& committed;
-  const std::map<std::string, UnitWants>& wants;
+  const WantsByUnit& wants;
   Moment bound = 3000;
   /// Most data nodes have told what their callers ask for.
   bool demand_known = false;
   /// The store has loads to spare for what nobody waits for.
   bool store_spare = false;
   Moment now = 0;
+  /// Units with waiting or running requests, and with wished adapters; null: any unit of the wants may be such.
+  const std::set<std::string>* active = nullptr;
+  const std::set<std::string>* wished = nullptr;
+  /// Workers that may hold something else than the plan says; null: any may.
+  const std::set<std::string>* open_work = nullptr;
+  /// Counts visits; null for none.
+  PlanWork* work = nullptr;
+  /// Most units that are given places in one turn; the longest wait goes first.
+  std::size_t places_most = 1000000;
 };
 
+/// True while the last change of the count isn't over.
+bool count_unsettled(const wire::HolderCount& count);
 HolderPlan read_plan(const wire::Placement& placement);
-/// Puts the plan in place of the one that the placement has.
+/// Puts the plan in place of the one that the placement has; units of no count are left out, as `plan_align` adds them.
 void write_plan(const HolderPlan& plan, wire::Placement& placement);
 /// Units of a configuration's models, as service and model.
 std::map<std::string, std::pair<std::string, std::string>> path_units(const PathConfig& paths);
@@ -55,11 +103,25 @@
 /// A worker is to hold a model, or to hold it no more with its adapters.
 void plan_hold(HolderPlan& plan, const std::string& identity, const std::string& model);
 void plan_leave(HolderPlan& plan, const std::string& identity, const std::string& model);
+/// Sets the count of a unit that the plan has.
+void plan_count(HolderPlan& plan, const std::string& unit, std::uint32_t count);
+/// Says that a unit's count or its flags were changed, or what a worker is to hold.
+void plan_touch_unit(HolderPlan& plan, const std::string& unit);
+void plan_touch_worker(HolderPlan& plan, const std::string& identity);
+/// Drops what was worked out, after changes made in any other way.
+void plan_reindex(HolderPlan& plan);
+/// Brings the plan to where the other is, which was changed from it; what was touched there is forgotten there.
+void plan_follow(HolderPlan& plan, HolderPlan& other);
+/// What is worked out from the plan.
+const PlanIndex& plan_index(const HolderPlan& plan);
 /// Workers that are to hold the unit, in order.
 const std::vector<std::string>& planned_holders(const HolderPlan& plan, const std::string& unit);
 /// Of those, the ones that do and that answer.
 std::int64_t ready_holders(const HolderPlan& plan, const PlanInput& input, const std::string& unit);
 
+/// True when a worker still holds the unit that isn't to hold it.
+bool held_beyond_plan(const HolderPlan& plan, const PlanInput& input, const std::string& unit);
+
 /// Brings workers and units in line with the list and the configuration; what a newcomer holds is adopted.
 void plan_align(HolderPlan& plan, const PlanInput& input);
 /// Gives held requests without a holder a place, brings holders to their counts, and fills free room.
--- a/src/core/placement/view.cpp
+++ b/src/core/placement/view.cpp
@@ -8,14 +8,17 @@
 constexpr Moment beats_per_bound = 3;
 constexpr Moment asks_per_bound = 12;
 
-bool same_entry(const wire::WorkerEntry& before, const wire::WorkerEntry& after) {
-  auto left = before;
-  auto right = after;
-  for (auto* entry : {&left, &right}) {
-    entry->set_remaining_ms(entry->remaining_ms() > 0 ? 1 : 0);
-    entry->set_warm_ms(entry->warm_ms() > 0 ? 1 : 0);
-  }
-  return left.SerializeAsString() == right.SerializeAsString();
+bool same_model(const wire::HeldModel& left, const wire::HeldModel& right) {
+  return left.name() == right.name() && left.revision() == right.revision() &&
+         std::ranges::equal(left.adapters(), right.adapters());
+}
+
+/// True when data nodes needn't be told; how much is left of a time is no difference, that something is left is one.
+bool same_entry(const wire::WorkerEntry& left, const wire::WorkerEntry& right) {
+  return left.identity() == right.identity() && left.service() == right.service() &&
+         left.address() == right.address() && left.locality() == right.locality() && left.slots() == right.slots() &&
+         left.draining() == right.draining() && (left.remaining_ms() > 0) == (right.remaining_ms() > 0) &&
+         (left.warm_ms() > 0) == (right.warm_ms() > 0) && std::ranges::equal(left.models(), right.models(), same_model);
 }
 
 wire::FleetView head_of(const FleetKeeper& keeper, const MemberState& member, Moment now) {
@@ -54,25 +57,23 @@
   keeper.next_beat = now + keeper.bound / beats_per_bound;
 }
 
-using EntryMap = std::map<std::string, const wire::WorkerEntry*>;
-
-EntryMap by_identity(const std::vector<wire::WorkerEntry>& workers) {
-  EntryMap map;
-  for (const auto& worker : workers) map[worker.identity()] = &worker;
-  return map;
+/// Puts a worker in its place; the entry where data nodes have to be told, else null.
+const wire::WorkerEntry* put_entry(FleetKeeper& keeper, wire::WorkerEntry entry) {
+  ++keeper.compared;
+  const auto place = std::ranges::lower_bound(keeper.workers, entry.identity(), {}, &wire::WorkerEntry::identity);
+  if (place == keeper.workers.end() || place->identity() != entry.identity()) {
+    return &*keeper.workers.insert(place, std::move(entry));
+  }
+  const bool changed = !same_entry(*place, entry);
+  *place = std::move(entry);
+  return changed ? &*place : nullptr;
 }
 
-wire::FleetView difference(const FleetKeeper& keeper, const std::vector<wire::WorkerEntry>& after) {
-  wire::FleetView view;
-  const auto old = by_identity(keeper.workers);
-  const auto fresh = by_identity(after);
-  for (const auto& [identity, worker] : fresh) {
-    const auto found = old.find(identity);
-    if (found == old.end() || !same_entry(*found->second, *worker)) *view.add_workers() = *worker;
-  }
-  for (const auto& [identity, worker] : old)
-    if (!fresh.contains(identity)) view.add_gone(identity);
-  return view;
+bool take_away(FleetKeeper& keeper, const std::string& identity) {
+  const auto place = std::ranges::lower_bound(keeper.workers, identity, {}, &wire::WorkerEntry::identity);
+  if (place == keeper.workers.end() || place->identity() != identity) return false;
+  keeper.workers.erase(place);
+  return true;
 }
 
 void advance(FleetKnown& known, Moment as_of) {
@@ -107,11 +108,22 @@
 
 bool fleet_set(FleetKeeper& keeper, std::vector<wire::WorkerEntry> workers, Moment asked, const MemberState& member,
                Moment now, Effects& effects) {
-  auto news = difference(keeper, workers);
-  const bool changed = news.workers_size() + news.gone_size() > 0;
-  keeper.workers = std::move(workers);
+  std::vector<std::string> gone;
+  for (const auto& known : keeper.workers)
+    if (!std::ranges::binary_search(workers, known.identity(), {}, &wire::WorkerEntry::identity))
+      gone.push_back(known.identity());
+  return fleet_change(keeper, std::move(workers), gone, asked, member, now, effects);
+}
+
+bool fleet_change(FleetKeeper& keeper, std::vector<wire::WorkerEntry> workers, const std::vector<std::string>& gone,
+                  Moment asked, const MemberState& member, Moment now, Effects& effects) {
+  wire::FleetView news;
+  for (auto& worker : workers)
+    if (const auto* changed = put_entry(keeper, std::move(worker))) *news.add_workers() = *changed;
+  for (const auto& identity : gone)
+    if (take_away(keeper, identity)) news.add_gone(identity);
   keeper.asked = std::max(keeper.asked, asked);
-  if (keeper.version != 0 && !changed) return false;
+  if (keeper.version != 0 && news.workers_size() + news.gone_size() == 0) return false;
   const auto base = keeper.version++;
   news.MergeFrom(head_of(keeper, member, now));
   news.set_base(base);
--- a/src/core/placement/view.hpp
+++ b/src/core/placement/view.hpp
@@ -13,6 +13,8 @@
   /// The platform's list was asked for at this moment.
   Moment asked = 0;
   Moment next_beat = 0;
+  /// Entries that were compared with those that data nodes know.
+  std::uint64_t compared = 0;
   /// Version that each data node was last sent; 0 where a message can't be relied on.
   std::map<std::uint64_t, std::uint64_t> told;
 };
@@ -39,6 +41,9 @@
 /// answered with true.
 bool fleet_set(FleetKeeper& keeper, std::vector<wire::WorkerEntry> workers, Moment asked, const MemberState& member,
                Moment now, Effects& effects);
+/// Takes some workers as they are known now, and identities of workers that are gone; the others stay as they were.
+bool fleet_change(FleetKeeper& keeper, std::vector<wire::WorkerEntry> workers, const std::vector<std::string>& gone,
+                  Moment asked, const MemberState& member, Moment now, Effects& effects);
 /// Tells every live data node the age of the list, and newcomers the whole view.
 void fleet_beat(FleetKeeper& keeper, const MemberState& member, Moment now, Effects& effects);
 /// Beats when no list has come for a while.
--- /dev/null
+++ b/src/core/placement/wants.cpp
@@ -0,0 +1,142 @@
+#include "core/placement/wants.hpp"
+
+#include <algorithm>
+
+namespace weldsail {
+namespace {
+
+NodeBacklog read_backlog(const wire::Backlog& backlog, Moment now) {
+  NodeBacklog result;
+  result.unit = backlog.unit();
+  result.waiting = backlog.waiting();
+  result.running = backlog.running();
+  result.prompt_tokens = static_cast<double>(backlog.prompt_tokens());
+  result.generation_tokens = static_cast<double>(backlog.generation_tokens());
+  result.waits_since = result.waiting > 0 ? now - static_cast<Moment>(backlog.oldest_ms()) : 0;
+  result.adapters = {backlog.adapters().begin(), backlog.adapters().end()};
+  return result;
+}
+
+bool says_same(const NodeBacklog& before, const wire::Backlog& after) {
+  return after.waiting() == 0 && before.waiting == 0 && before.running == after.running() &&
+         std::ranges::equal(before.adapters, after.adapters());
+}
+
+/// Adapters with the weight of the wish for each, the most wanted first.
+std::vector<std::pair<std::string, double>> sum_adapters(const UnitSources& sources) {
+  std::map<std::string, double> weights;
+  for (const auto& [node, adapters] : sources.adapters) {
+    double rank = 1;
+    for (const auto& adapter : adapters) weights[adapter] += 1 / rank++;
+  }
+  std::vector<std::pair<std::string, double>> list(weights.begin(), weights.end());
+  std::ranges::stable_sort(list, std::greater<>(), &std::pair<std::string, double>::second);
+  return list;
+}
+
+void keep_member(std::set<std::string>& units, const std::string& unit, bool belongs) {
+  if (belongs)
+    units.insert(unit);
+  else
+    units.erase(unit);
+}
+
+bool replace_adapters(WantsIndex& index, UnitSources& sources, std::uint64_t node, const NodeBacklog& next) {
+  static const std::vector<std::string> none;
+  const auto found = sources.adapters.find(node);
+  const auto& before = found == sources.adapters.end() ? none : found->second;
+  if (before == next.adapters) return false;
+  const bool grown = std::ranges::any_of(
+      next.adapters, [&](const auto& adapter) { return std::ranges::find(before, adapter) == before.end(); });
+  if (next.adapters.empty())
+    sources.adapters.erase(node);
+  else
+    sources.adapters[node] = next.adapters;
+  auto& wants = index.units[next.unit];
+  wants.adapters = sum_adapters(sources);
+  keep_member(index.wished, next.unit, !wants.adapters.empty());
+  return grown;
+}
+
+/// Puts what the node tells now in place of what it told before; true when the unit has begun to wait or a new adapter
+/// is wished for.
+bool replace(WantsIndex& index, std::uint64_t node, const NodeBacklog& before, const NodeBacklog& next) {
+  auto& wants = index.units[next.unit];
+  auto& sources = index.sources[next.unit];
+  auto& demand = wants.demand;
+  const bool waited = demand.waiting > 0;
+  demand.waiting += next.waiting - before.waiting;
+  index.waiting += next.waiting - before.waiting;
+  demand.running += next.running - before.running;
+  demand.prompt_tokens += next.prompt_tokens - before.prompt_tokens;
+  demand.generation_tokens += next.generation_tokens - before.generation_tokens;
+  if (next.waiting > 0)
+    sources.waits_since[node] = next.waits_since;
+  else
+    sources.waits_since.erase(node);
+  wants.waits_since.reset();
+  for (const auto& [other, since] : sources.waits_since)
+    wants.waits_since = std::min(wants.waits_since.value_or(since), since);
+  keep_member(index.active, next.unit, demand.waiting + demand.running > 0);
+  const bool wished = replace_adapters(index, sources, node, next);
+  return wished || (!waited && demand.waiting > 0);
+}
+
+void mark_used(UnitWants& wants, const wire::Backlog& backlog, Moment now) {
+  const bool used = backlog.waiting() > 0 || backlog.running() > 0;
+  const auto last = used ? now : now - static_cast<Moment>(backlog.quiet_ms());
+  wants.last_used = std::max(wants.last_used.value_or(last), last);
+}
+
+void forget(WantsIndex& index, std::uint64_t node, const NodeBacklog& before) {
+  NodeBacklog nothing;
+  nothing.unit = before.unit;
+  replace(index, node, before, nothing);
+}
+
+}  // namespace
+
+bool wants_take(WantsIndex& index, std::uint64_t node, const wire::CounterReport& report, Moment now) {
+  auto& told = index.nodes[node];
+  told.heard = now;
+  std::vector<const wire::Backlog*> sorted;
+  for (const auto& backlog : report.backlogs()) sorted.push_back(&backlog);
+  std::ranges::sort(sorted, {}, [](const wire::Backlog* backlog) { return backlog->unit(); });
+  std::vector<NodeBacklog> next;
+  next.reserve(sorted.size());
+  bool fresh = false;
+  auto before = told.backlogs.begin();
+  for (const auto* backlog : sorted) {
+    ++index.visited;
+    for (; before != told.backlogs.end() && before->unit < backlog->unit(); ++before) forget(index, node, *before);
+    const bool known = before != told.backlogs.end() && before->unit == backlog->unit();
+    if (known && says_same(*before, *backlog)) {
+      next.push_back(std::move(*before));
+    } else {
+      NodeBacklog nothing;
+      nothing.unit = backlog->unit();
+      next.push_back(read_backlog(*backlog, now));
+      fresh |= replace(index, node, known ? *before : nothing, next.back());
+    }
+    if (known) ++before;
+    mark_used(index.units[backlog->unit()], *backlog, now);
+  }
+  for (; before != told.backlogs.end(); ++before) forget(index, node, *before);
+  told.backlogs = std::move(next);
+  return fresh;
+}
+
+void wants_expire(WantsIndex& index, Moment now) {
+  for (auto& [node, told] : index.nodes) {
+    if (now - told.heard <= index.bound) continue;
+    for (const auto& backlog : told.backlogs) forget(index, node, backlog);
+    told.backlogs.clear();
+  }
+}
+
+bool wants_heard(const WantsIndex& index, std::uint64_t node, Moment now) {
+  const auto found = index.nodes.find(node);
+  return found != index.nodes.end() && now - found->second.heard <= index.bound;
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/placement/wants.hpp
@@ -0,0 +1,59 @@
+#pragma once
+#include <optional>
+
+#include "core/placement/plan.hpp"
+
+namespace weldsail {
+
+/// What one data node last told of one unit's callers.
+struct NodeBacklog {
+  std::string unit;
+  std::uint64_t waiting = 0;
+  std::uint64_t running = 0;
+  double prompt_tokens = 0;
+  double generation_tokens = 0;
+  /// Arrival of the longest waiting request, where one waits.
+  Moment waits_since = 0;
+  /// The most wanted first.
+  std::vector<std::string> adapters;
+};
+
+/// A data node's last report.
+struct NodeWants {
+  Moment heard = 0;
+  /// Sorted by unit.
+  std::vector<NodeBacklog> backlogs;
+};
+
+/// Parts of a unit's wants that can't be kept as sums, by data node.
+struct UnitSources {
+  std::map<std::uint64_t, Moment> waits_since;
+  std::map<std::uint64_t, std::vector<std::string>> adapters;
+};
+
+/// What all callers ask for, kept up to date report by report: a report costs its own length, not that of the fleet.
+struct WantsIndex {
+  /// A report that is older than this counts no more, in milliseconds.
+  Moment bound = 3000;
+  WantsByUnit units;
+  /// Requests that wait, of all units.
+  std::uint64_t waiting = 0;
+  /// Units with waiting or running requests.
+  std::set<std::string> active;
+  /// Units with adapters that callers ask for.
+  std::set<std::string> wished;
+  std::map<std::string, UnitSources> sources;
+  std::map<std::uint64_t, NodeWants> nodes;
+  /// Backlogs that were compared with the node's former report.
+  std::uint64_t visited = 0;
+};
+
+/// Takes a data node's report in place of its former one; true when a unit has begun to wait or a new adapter is wished
+/// for.
+bool wants_take(WantsIndex& index, std::uint64_t node, const wire::CounterReport& report, Moment now);
+/// Forgets what nodes told that haven't reported within the bound.
+void wants_expire(WantsIndex& index, Moment now);
+/// True when the node has reported within the bound.
+bool wants_heard(const WantsIndex& index, std::uint64_t node, Moment now);
+
+}  // namespace weldsail
--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -11,6 +11,13 @@
 namespace {
 
 constexpr int aside_door = 1;
+/// Milliseconds of work that may wait before the loop looks for urgent events again.
+constexpr Moment turn_most = 4;
+/// Events that may wait; messages beyond are dropped.
+constexpr std::size_t later_most = 4096;
+
+/// A data-plane process takes everything in the order in which it came.
+bool may_wait(const DataState&, const Event&) { return false; }
 
 template <typename... Handlers>
 struct Overloaded : Handlers... {
@@ -37,19 +44,18 @@
     auto records = disk_->start();
     if (!records) return records.error();
     started.records = std::move(*records);
-    disk_->persisted.connect([this](const Persisted& event) { events_.push_back(event); });
+    disk_->persisted.connect([this](const Persisted& event) { put(event); });
   }
   if (const auto listening = messenger_.listen(place_.peers); !listening) return listening.error();
   if (const auto listening = callers_.listen(place_.callers); !listening) return listening.error();
   if (!place_.aside.empty())
     if (const auto listening = callers_.listen(place_.aside, aside_door); !listening) return listening.error();
-  messenger_.arrived.connect(
-      [this](wire::Envelope& envelope) { events_.push_back(MessageArrived{std::move(envelope)}); });
-  callers_.arrived.connect([this](const RequestArrived& request) { events_.push_back(request); });
-  callers_.gone.connect([this](std::uint64_t request) { events_.push_back(RequestGone{request}); });
-  client_.told.connect([this](const Event& event) { events_.push_back(event); });
-  interrupts_.raised.connect([this] { events_.push_back(Leaving{}); });
-  interrupts_.hung_up.connect([this] { events_.push_back(SettingsChanged{}); });
+  messenger_.arrived.connect([this](wire::Envelope& envelope) { put(MessageArrived{std::move(envelope)}); });
+  callers_.arrived.connect([this](const RequestArrived& request) { put(request); });
+  callers_.gone.connect([this](std::uint64_t request) { put(RequestGone{request}); });
+  client_.told.connect([this](const Event& event) { put(event); });
+  interrupts_.raised.connect([this] { put(Leaving{}); });
+  interrupts_.hung_up.connect([this] { put(SettingsChanged{}); });
   log_note({"process.start", {{"peers", place_.peers}, {"callers", place_.callers}, {"folder", place_.folder}}, false});
   take(started);
   return {};
@@ -58,15 +64,11 @@
 template <typename State>
 void Node<State>::run() {
   while (!departed_) {
-    while (!events_.empty()) {
-      const auto event = std::move(events_.front());
-      events_.pop_front();
-      take(event);
-    }
+    take_turn();
     messenger_.flush();
     loop_.settle();
     const int pause = beat();
-    if (events_.empty()) loop_.step(pause);
+    if (events_.empty()) loop_.step(later_.empty() ? pause : 0);
   }
   messenger_.flush();
   callers_.close();
@@ -81,6 +83,28 @@
   log_note({"process.end", {}, false});
 }
 
+template <typename State>
+void Node<State>::put(Event event) {
+  if (!may_wait(state_, event)) return events_.push_back(std::move(event));
+  // A message may be lost; what a pipe tells may not.
+  if (later_.size() >= later_most && std::holds_alternative<MessageArrived>(event)) return;
+  later_.push_back(std::move(event));
+}
+
+template <typename State>
+void Node<State>::take_turn() {
+  const auto take_first = [this](std::deque<Event>& queue) {
+    const auto event = std::move(queue.front());
+    queue.pop_front();
+    take(event);
+  };
+  const auto until = monotonic_now() + turn_most;
+  do {
+    while (!events_.empty()) take_first(events_);
+    if (!later_.empty()) take_first(later_);
+  } while (!events_.empty() || (!later_.empty() && monotonic_now() < until));
+}
+
 template <typename State>
 int Node<State>::beat() {
   const auto now = monotonic_now();
@@ -89,7 +113,7 @@
   client_.sweep(now);
   messenger_.sweep(now);
   callers_.sweep(now);
-  events_.push_back(Ticked{random_number()});
+  put(Ticked{random_number()});
   return 0;
 }
 
@@ -102,7 +126,7 @@
 template <typename State>
 void Node<State>::send(const SendMessage& effect) {
   if (effect.address == place_.peers) {
-    events_.push_back(MessageArrived{effect.envelope});
+    put(MessageArrived{effect.envelope});
     return;
   }
   messenger_.send(effect.address, effect.envelope);
--- a/src/shell/node.hpp
+++ b/src/shell/node.hpp
@@ -32,6 +32,10 @@
   void run();
 
  private:
+  /// Puts an event behind those of its urgency.
+  void put(Event event);
+  /// Takes all urgent events, then others for a bounded time.
+  void take_turn();
   void take(const Event& event);
   void carry_out(Effect& effect);
   void send(const SendMessage& effect);
@@ -47,6 +51,8 @@
   std::optional<Disk> disk_;
   Interrupts interrupts_;
   std::deque<Event> events_;
+  /// Events that may wait for all others.
+  std::deque<Event> later_;
   Moment next_tick_ = 0;
   bool departed_ = false;
 };
