--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -1,5 +1,8 @@
 #include "core/controlparts.hpp"
 
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/wire_format_lite.h>
+
 #include <algorithm>
 
 namespace weldsail {
@@ -17,6 +20,24 @@
   return true;
 }
 
+/// Names that a committed placement says are drained, without a reading of all that it says of workers and models;
+/// none when the bytes are no placement.
+std::optional<std::vector<std::string>> read_drained(const std::string& bytes) {
+  using google::protobuf::internal::WireFormatLite;
+  google::protobuf::io::CodedInputStream stream(reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                                                static_cast<int>(bytes.size()));
+  std::vector<std::string> drained;
+  while (const auto tag = stream.ReadTag()) {
+    const bool wanted = WireFormatLite::GetTagFieldNumber(tag) == wire::Placement::kDrainedFieldNumber;
+    std::string name;
+    if (!(wanted ? WireFormatLite::ReadBytes(&stream, &name) : WireFormatLite::SkipField(&stream, tag)))
+      return std::nullopt;
+    if (wanted) drained.push_back(std::move(name));
+  }
+  if (!stream.ConsumedEntireMessage()) return std::nullopt;
+  return drained;
+}
+
 }  // namespace
 
 bool may_wait(const ControlState&, const Event& event) {
@@ -26,10 +47,10 @@
          std::holds_alternative<PipeEnded>(event);
 }
 
-void control_use_drains(ControlState& state, const wire::Placement& placement) {
+void control_use_drains(ControlState& state, const std::vector<std::string>& drained) {
   static const std::string node = "node:";
   state.duty.drained.clear();
-  for (const auto& name : placement.drained())
+  for (const auto& name : drained)
     if (name.starts_with(node)) state.duty.drained.insert(name.substr(node.size()));
 }
 
@@ -62,8 +83,8 @@
   if (state.options.has_disk)
     effects.push_back(Persist{learned_tokens, {{control_learned + value.key(), value.SerializeAsString()}}});
   control_use_document(state);
-  if (wire::Placement placement; value.key() == placement_key && placement.ParseFromString(value.value()))
-    control_use_drains(state, placement);
+  if (value.key() != placement_key) return;
+  if (const auto drained = read_drained(value.value())) control_use_drains(state, *drained);
 }
 
 void control_operate(ControlState& state, const Asker& asker, const wire::Operate& operation, Moment now,
--- a/src/core/controlparts.hpp
+++ b/src/core/controlparts.hpp
@@ -9,7 +9,7 @@
 /// Reads the newest learned configuration.
 void control_use_document(ControlState& state);
 /// Reads from the committed placement which control nodes an operator has drained.
-void control_use_drains(ControlState& state, const wire::Placement& placement);
+void control_use_drains(ControlState& state, const std::vector<std::string>& drained);
 /// Takes a committed value.
 void control_learn(ControlState& state, const wire::RegisterValue& value, Effects& effects);
 /// Answers an operator's request, or carries it to the owner.
--- a/src/core/placement/command.cpp
+++ b/src/core/placement/command.cpp
@@ -109,8 +109,10 @@
                   Effects& effects) {
   const auto service = context.paths.services.find(book.entry.service());
   if (!command_free(book, context.now) || service == context.paths.services.end()) return false;
-  if (!book_fits(book, order, service->second)) return false;
   const bool from_store = order.load && order.adapter.empty() && !book.had.contains(order.model);
+  // Most candidates wait for the store: they are told apart before anything else is worked out.
+  if (from_store && state.store.filled == context.now && state.store.ready < 1) return false;
+  if (!book_fits(book, order, service->second)) return false;
   if (from_store && !store_allows(state.store, context.limits, doubtful_loads(state), context.now)) return false;
   if (!book.orders_taken) {
     ask_report(state, book, context, effects);
--- a/src/core/placement/decide.cpp
+++ b/src/core/placement/decide.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <tuple>
 
 #include "core/placement/placing.hpp"
 
@@ -21,12 +22,41 @@
   state.align_due = true;
 }
 
+/// True when a touched unit's count is written otherwise than in the committed plan.
+bool count_differs(const HolderPlan& plan, const HolderPlan& draft, const std::string& unit) {
+  const auto written = [&](const HolderPlan& from) {
+    const auto found = from.counts.find(unit);
+    const bool kept = found != from.counts.end() && (found->second.count() > 0 || count_unsettled(found->second));
+    return kept ? found->second.SerializeAsString() : std::string();
+  };
+  return written(plan) != written(draft);
+}
+
+bool worker_differs(const HolderPlan& plan, const HolderPlan& draft, const std::string& identity) {
+  const auto before = plan.workers.find(identity);
+  const auto after = draft.workers.find(identity);
+  if (before == plan.workers.end() || after == draft.workers.end())
+    return (before == plan.workers.end()) != (after == draft.workers.end());
+  const auto parts = [](const PlannedWorker& worker) {
+    return std::tie(worker.address, worker.service, worker.models, worker.adapters);
+  };
+  return parts(before->second) != parts(after->second);
+}
+
+/// True when the draft isn't what is committed; only what was touched is compared.
+bool draft_differs(const HolderPlan& plan, const HolderPlan& draft) {
+  return std::ranges::any_of(draft.touched_units, [&](const auto& unit) { return count_differs(plan, draft, unit); }) ||
+         std::ranges::any_of(draft.touched_workers,
+                             [&](const auto& identity) { return worker_differs(plan, draft, identity); });
+}
+
 void propose(PlacingState& state, const PlacingContext& context, Effects& effects) {
   if (state.draft.touched_units.empty() && state.draft.touched_workers.empty()) return;
-  auto next = state.committed;
+  if (!draft_differs(state.plan, state.draft)) return plan_follow(state.plan, state.draft);
+  wire::Placement next;
+  *next.mutable_drained() = state.committed.drained();
   write_plan(state.draft, next);
-  if (next.SerializeAsString() == context.owner.value) return plan_follow(state.plan, state.draft);
-  next.set_decision(next.decision() + 1);
+  next.set_decision(state.committed.decision() + 1);
   next.set_term(state.term);
   state.proposed = next.SerializeAsString();
   state.next = std::move(next);
--- a/src/core/placement/wants.cpp
+++ b/src/core/placement/wants.cpp
@@ -101,7 +101,8 @@
   told.heard = now;
   std::vector<const wire::Backlog*> sorted;
   for (const auto& backlog : report.backlogs()) sorted.push_back(&backlog);
-  std::ranges::sort(sorted, {}, [](const wire::Backlog* backlog) { return backlog->unit(); });
+  const auto unit_of = [](const wire::Backlog* backlog) -> const std::string& { return backlog->unit(); };
+  if (!std::ranges::is_sorted(sorted, {}, unit_of)) std::ranges::sort(sorted, {}, unit_of);
   std::vector<NodeBacklog> next;
   next.reserve(sorted.size());
   bool fresh = false;
--- a/test/unit/placingwork.cpp
+++ b/test/unit/placingwork.cpp
@@ -111,10 +111,10 @@
 Visited visits_at(std::size_t workers) {
   WorkersPlan plan;
   plan.workers = workers;
-  plan.models = workers * 3 + 20;
+  plan.models = workers * 6;
   plan.list_page = 100;
   AskPlan asks;
-  asks.rare_per_s = 2;
+  asks.rare_per_s = 6;
   PlacingFleet fleet(7, plan, asks);
   fleet.world.run_until(9000);
   fleet.ask_until(20000);
