--- a/src/core/placement/fit.cpp
+++ b/src/core/placement/fit.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <ranges>
 
 #include "core/placement/places.hpp"
 
@@ -59,14 +60,19 @@
 /// Gives one unit that nobody holds a place that nothing has to leave, the most lately used first.
 void fill_free_room(HolderPlan& plan, const PlanInput& input, PlaceSearch& search, Effects& effects) {
   std::map<std::string, std::int64_t> free;
-  for (const auto& [name, service] : input.paths.services)
-    if (!service.models.empty()) free[name] = search.free_room(name);
-  if (std::ranges::none_of(free, [](const auto& item) { return item.second > 0; })) return;
+  for (const auto& [name, service] : input.paths.services) {
+    if (service.models.empty()) continue;
+    const auto weights = [](const auto& item) { return item.second.weights_mb; };
+    const auto least = std::ranges::min(service.models | std::views::transform(weights));
+    if (const auto room = search.free_room(name); room >= least) free[name] = room;
+  }
+  if (free.empty()) return;
   std::vector<std::pair<Moment, std::string>> order;
   for (const auto& [unit, count] : plan.counts) {
     if (input.work != nullptr) ++input.work->searched;
     const auto* service = count.count() == 0 ? unit_service(input.paths, unit) : nullptr;
-    if (service == nullptr || model_weights(*service, unit_model(unit)) > free[service->name]) continue;
+    const auto room = service == nullptr ? free.end() : free.find(service->name);
+    if (room == free.end() || model_weights(*service, unit_model(unit)) > room->second) continue;
     order.emplace_back(wants_quiet(plan_wants(input, unit), input.now), unit);
   }
   std::ranges::sort(order);
