--- a/src/core/placement/fit.cpp
+++ b/src/core/placement/fit.cpp
@@ -105,9 +105,13 @@
   }
   PlaceSearch search(input, plan);
   bool lacks = false;
-  std::size_t tried = 0;
+  // By service, so that one without room doesn't keep the others waiting.
+  std::map<std::string, std::size_t> tried;
   for (const auto& unit : lacking_units(plan, input)) {
-    if (tried++ >= input.places_most) return;
+    if (tried[unit_cell(unit)]++ >= input.places_most) {
+      lacks = true;
+      continue;
+    }
     while (planned_holders(plan, unit).size() < plan.counts.at(unit).count())
       if (!add_holder(plan, search, unit, true, effects)) break;
     lacks |= planned_holders(plan, unit).size() < plan.counts.at(unit).count();
--- a/src/core/placement/plan.hpp
+++ b/src/core/placement/plan.hpp
@@ -83,7 +83,7 @@
   const std::set<std::string>* open_work = nullptr;
   /// Counts visits; null for none.
   PlanWork* work = nullptr;
-  /// Most units that are given places in one turn; the longest wait goes first.
+  /// Most units of a service that are given places in one turn; the longest wait goes first.
   std::size_t places_most = 1000000;
 };
 
