The holder reads the list of workers before workers' answers, and a failed ask again soon

By reading: answers of the list (four pages) waited in the process's queue of work that may wait, behind reports and orders, and one failed page (up to a third of the bound) cost a whole pace more. Now the list's connection is urgent, and a failure that isn't a 429 is tried again after a quarter of the pace, then doubled. Data nodes keep their own pace.

Also: a core that has given its last seat takes no further disk in (a seat beyond the stride would share epochs); RunHead::misdirected had no reader.

--- a/src/core/consensus/repair.cpp
+++ b/src/core/consensus/repair.cpp
@@ -120,6 +120,8 @@
   if (let_go != 0 && !core_old(core, let_go)) return "let_go names no disk of the core";
   if (take_in != 0 && (core_old(core, take_in) || !present(member, take_in) || leaving(member, take_in)))
     return "take_in names no live spare disk";
+  // A seat beyond the stride would share its epochs with another round's.
+  if (take_in != 0 && core.highest_seat() + 1 >= epoch_stride) return "no seat is left";
   auto next = successor(core, owner);
   for (const auto& disk : core.disks())
     if (disk.disk() != let_go) *next.add_next() = disk;
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -88,8 +88,8 @@
 ControlState make_control(const ControlOptions& options);
 /// One step of a control-plane process.
 Effects reduce(ControlState& state, const Event& event, Moment now);
-/// True for work that may wait behind all else: what workers and the platform's list answer, what callers ask for, and
-/// the view. Leases, votes, heartbeats and the configuration never wait for these.
+/// True for work that may wait behind all else: what workers answer, what callers ask for, and asks for the view.
+/// Leases, votes, heartbeats, the configuration and the list of workers never wait for these.
 bool may_wait(const ControlState& state, const Event& event);
 /// The process's status document.
 std::string control_status_text(const ControlState& state, Moment now);
--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -50,11 +50,15 @@
 
 }  // namespace
 
-bool may_wait(const ControlState&, const Event& event) {
+bool may_wait(const ControlState& state, const Event& event) {
   if (const auto* message = std::get_if<MessageArrived>(&event))
     return message->envelope.has_counter_report() || message->envelope.has_fleet_ask();
-  return std::holds_alternative<PipeHead>(event) || std::holds_alternative<PipeBytes>(event) ||
-         std::holds_alternative<PipeEnded>(event);
+  // What the list says of leaving workers has a bound that all data nodes are held to.
+  const auto of_worker = [&](std::uint64_t pipe) { return pipe != state.placing.list.pipe; };
+  if (const auto* head = std::get_if<PipeHead>(&event)) return of_worker(head->pipe);
+  if (const auto* bytes = std::get_if<PipeBytes>(&event)) return of_worker(bytes->pipe);
+  const auto* ended = std::get_if<PipeEnded>(&event);
+  return ended != nullptr && of_worker(ended->pipe);
 }
 
 void control_use_drains(ControlState& state, const std::vector<std::string>& drained) {
--- a/src/core/dialect.hpp
+++ b/src/core/dialect.hpp
@@ -44,8 +44,6 @@
 struct RunHead {
   /// The worker says that it has not run the request and never will.
   bool not_run = false;
-  /// Another worker has the address, or the model or adapter isn't there.
-  bool misdirected = false;
   /// The request's identity is echoed; a refusal may leave it out.
   bool same_request = false;
   /// The worker's seal is there: a success without it is none.
--- a/src/core/placement/listing.cpp
+++ b/src/core/placement/listing.cpp
@@ -9,6 +9,9 @@
 constexpr std::size_t page_bytes_most = 8U << 20U;
 constexpr std::size_t pages_most = 1000;
 constexpr std::size_t doublings_most = 2;
+/// Failures are counted up to here.
+constexpr std::size_t doublings_in_all = 16;
+constexpr int too_many_requests = 429;
 constexpr Moment dues_per_contact = 3;
 
 void ask_page(ListState& state, const Limits& limits, PipeNumbers& numbers, Moment now, Effects& effects) {
@@ -22,8 +25,13 @@
 }
 
 void fail(ListState& state, const char* cause, Moment now, Effects& effects) {
-  const auto wait = std::max(state.retry_after, state.pace << std::min(state.failures, doublings_most));
-  if (state.failures++ == 0) note(effects, "list.failed", {{"cause", cause}, {"status", std::to_string(state.answer)}});
+  const bool told_to_slow_down = state.answer == too_many_requests;
+  const auto pause = state.retry != 0 && !told_to_slow_down ? state.retry : state.pace;
+  const auto wait = std::max(state.retry_after, std::min(pause << state.failures, state.pace << doublings_most));
+  // A retry doesn't wait for the pause that was counted from the beginning of the ask that failed.
+  if (state.retry != 0 && !told_to_slow_down) state.next_ask = now;
+  if (state.failures < doublings_in_all) ++state.failures;
+  if (state.failures == 1) note(effects, "list.failed", {{"cause", cause}, {"status", std::to_string(state.answer)}});
   state.next_ask = std::max(state.next_ask, now + wait);
 }
 
--- a/src/core/placement/listing.hpp
+++ b/src/core/placement/listing.hpp
@@ -9,6 +9,8 @@
 struct ListState {
   /// Least time between the beginnings of two asks, in milliseconds.
   Moment pace = 1000;
+  /// Least time to the next ask after one that failed without being told to slow down; 0 for `pace`, in milliseconds.
+  Moment retry = 0;
   Moment next_ask = 0;
   std::uint64_t pipe = 0;
   int answer = 0;
--- a/src/core/placement/placing.cpp
+++ b/src/core/placement/placing.cpp
@@ -7,6 +7,7 @@
 
 /// Ratios to the contact bound.
 constexpr Moment lists_per_ten_bounds = 33;
+constexpr Moment list_retries_per_pace = 4;
 constexpr Moment decisions_per_bound = 75;
 constexpr Moment waiting_decisions_per_bound = 30;
 constexpr Moment restless_decisions_per_bound = 6;
@@ -99,6 +100,7 @@
   state.bound = state.fleet.bound = state.demand.bound = state.wants.bound = bound;
   state.term = context.owner.epoch;
   state.list.pace = context.limits.contact * 10 / lists_per_ten_bounds;
+  state.list.retry = state.list.pace / list_retries_per_pace;
   fleet_begin(state.fleet, state.term);
   const bool first = context.owner.best_epoch == 0;
   const auto apart = context.limits.lease + bound / confirmed_part + 2 * context.limits.contact / orders_due_part;
--- a/test/sim/secondlossscenario.cpp
+++ b/test/sim/secondlossscenario.cpp
@@ -15,7 +15,7 @@
   CoreWatch& watch;
   std::size_t wanted;
   std::size_t fresh = 0;
-  std::set<std::string> gone;
+  std::set<std::string> gone = {};
 
   World& world() { return fleet.world; }
 
--- a/test/unit/listing.cpp
+++ b/test/unit/listing.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "core/control.hpp"
 #include "core/placement/listing.hpp"
 #include "core/placement/view.hpp"
 #include "platform/fleet.hpp"
@@ -170,3 +171,34 @@
   CHECK_FALSE(fleet_take(pair.known, late, 3300));
   CHECK(pair.known.workers.size() == old.workers.size());
 }
+
+TEST_CASE("a holder's failed ask is tried again soon, unless it was told to slow down", "[placing]") {
+  Asker asker;
+  asker.state.retry = asker.state.pace / 4;
+  REQUIRE(asker.tick(2000));
+  Effects effects;
+  list_pipe(asker.state, asker.limits, asker.dialect, asker.numbers, PipeEnded{asker.state.pipe, false, true, ""}, 2010,
+            effects);
+  CHECK(asker.state.next_ask == 2010 + 225);
+  REQUIRE(asker.tick(2235));
+  list_pipe(asker.state, asker.limits, asker.dialect, asker.numbers, PipeEnded{asker.state.pipe, false, true, ""}, 2240,
+            effects);
+  CHECK(asker.state.next_ask == 2240 + 450);
+  REQUIRE(asker.tick(2690));
+  const auto pipe = asker.state.pipe;
+  list_pipe(asker.state, asker.limits, asker.dialect, asker.numbers, PipeHead{pipe, 429, {}}, 2700, effects);
+  list_pipe(asker.state, asker.limits, asker.dialect, asker.numbers, PipeEnded{pipe, true, true, ""}, 2700, effects);
+  CHECK(asker.state.next_ask >= 2700 + 900);
+}
+
+TEST_CASE("the list of workers is read before what workers answer", "[placing]") {
+  ControlState state = make_control({});
+  state.placing.list.pipe = 7;
+  CHECK_FALSE(may_wait(state, PipeHead{7, 200, {}}));
+  CHECK_FALSE(may_wait(state, PipeBytes{7, "x"}));
+  CHECK_FALSE(may_wait(state, PipeEnded{7, true, true, ""}));
+  CHECK(may_wait(state, PipeHead{8, 200, {}}));
+  CHECK(may_wait(state, PipeBytes{8, "x"}));
+  CHECK(may_wait(state, PipeEnded{8, true, true, ""}));
+  CHECK_FALSE(may_wait(state, Ticked{1}));
+}
--- a/test/unit/secondloss.cpp
+++ b/test/unit/secondloss.cpp
@@ -203,3 +203,29 @@
   world.run_until(world.now() + 1500);
   CHECK(ended() == 3);
 }
+
+TEST_CASE("a core that has given its last seat takes no further disk in", "[hardening.second_loss]") {
+  Fleet fleet(11, core_plan(4, 1));
+  auto& world = fleet.world;
+  world.run_until(8000);
+  std::size_t owners = 0;
+  for (const auto* address : {"cp1", "cp2", "cp3", "cp4"}) {
+    auto state = *world.control(address);
+    auto& owner = state.owners[core_key];
+    if (owner.phase != OwnerPhase::holding || owner.proposal) continue;
+    ++owners;
+    std::uint64_t spare = 0;
+    for (const auto* entry : live_members(state.member, Program::control))
+      if (core_seat(state.formation.core, entry->disk()) == 0) spare = entry->disk();
+    REQUIRE(spare != 0);
+    Effects effects;
+    state.formation.core.set_highest_seat(static_cast<std::uint32_t>(epoch_stride - 1));
+    CHECK(repair_set(state.member, state.formation, owner, 0, spare, world.now(), effects) == "no seat is left");
+    CHECK(effects.empty());
+    CHECK_FALSE(owner.proposal);
+    state.formation.core.set_highest_seat(static_cast<std::uint32_t>(epoch_stride - 2));
+    CHECK(repair_set(state.member, state.formation, owner, 0, spare, world.now(), effects).empty());
+    CHECK(owner.proposal);
+  }
+  CHECK(owners == 1);
+}
