Only a process that hears a majority itself tries to take a key

Two of five control processes send and don't hear; data nodes on both sides tell them that all are alive, so the former owner thinks that it hears a majority, and its Prepares, promised by all, hold the other three up for a bound each time, again and again. Now a core disk counts as heard only if a message of its own came within a bound.

--- a/src/core/consensus/duty.cpp
+++ b/src/core/consensus/duty.cpp
@@ -27,12 +27,16 @@
   return 0;
 }
 
-/// One who hears no majority can't win it, and its tries would only hold the others up.
-bool hears_majority(const MemberState& member, const wire::Core& core) {
-  std::set<std::uint64_t> live;
-  for (const auto disk : core_members(core))
-    if (member_disk_live(member, disk)) live.insert(disk);
-  return core_majority(core, live);
+/// One who hears no majority can't win it, and its tries would only hold the others up. What others say of a process
+/// that is alive doesn't count: in a cut in one direction they are heard, and its own answers aren't.
+bool hears_majority(const DutyState& state, const MemberState& member, const wire::Core& core, Moment now) {
+  std::set<std::uint64_t> heard;
+  for (const auto disk : core_members(core)) {
+    const auto found = state.heard.find(disk);
+    const bool lately = found != state.heard.end() && now - found->second < state.bound;
+    if (member_disk_live(member, disk) && (lately || disk == member.self.disk())) heard.insert(disk);
+  }
+  return core_majority(core, heard);
 }
 
 // A holder asks every core disk for its consent four times a lease: one that doesn't is gone before its pings tell.
@@ -83,7 +87,7 @@
   }
   if (!core.formed() || !core_old(core, member.self.disk())) return false;
   if (member.leaving || member.self.leaving()) return false;
-  if (duty_excluded(state, member, core) || !hears_majority(member, core)) return false;
+  if (duty_excluded(state, member, core) || !hears_majority(state, member, core, now)) return false;
   if (state.behind && now - *state.behind < state.bound) return false;
   const bool all_seen = std::ranges::all_of(
       core.disks(), [&](const wire::CoreDisk& item) { return member_disk_live(member, item.disk()); });
@@ -97,6 +101,10 @@
   return owner.phase == OwnerPhase::idle;
 }
 
+void duty_heard(DutyState& state, const wire::Core& core, std::uint64_t disk, Moment now) {
+  if (core_seat(core, disk) != 0) state.heard[disk] = now;
+}
+
 void duty_tried(DutyState& state, const std::string& key, Moment now) { state.views[key].tried_elsewhere = now; }
 
 void duty_claim(MemberState& member, const std::map<std::string, RegisterState>& owners) {
--- a/src/core/consensus/duty.hpp
+++ b/src/core/consensus/duty.hpp
@@ -20,6 +20,8 @@
   Moment started = 0;
   /// When another was last heard of that knows a newer core.
   std::optional<Moment> behind;
+  /// When each core disk's process was last heard itself, not by word of others.
+  std::map<std::uint64_t, Moment> heard;
 };
 
 /// Keys that each have one owner.
@@ -34,6 +36,8 @@
 /// True when this node should take the key now.
 bool duty_wanted(DutyState& state, const MemberState& member, const wire::Core& core, RegisterState& owner,
                  const AcceptorState& acceptor, Moment now);
+/// A message came from a disk's process itself.
+void duty_heard(DutyState& state, const wire::Core& core, std::uint64_t disk, Moment now);
 /// Another node has begun to take the key: it gets the bound to finish.
 void duty_tried(DutyState& state, const std::string& key, Moment now);
 /// Puts the keys held here into the own member entry.
--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -141,6 +141,7 @@
   const auto own = state.member.self.cluster();
   if (own != 0 && envelope.cluster() != 0 && own != envelope.cluster()) return;
   if (envelope.to() != 0 && envelope.to() != state.member.self.node()) return;
+  duty_heard(state.duty, state.formation.core, envelope.disk(), now);
   if (votes_under_old_core(state, envelope, effects)) return;
   acceptor_receive(state.acceptor, state.member, envelope, now, effects);
   control_take_core(state, effects);
--- a/test/unit/cutoff.cpp
+++ b/test/unit/cutoff.cpp
@@ -60,3 +60,11 @@
   plan.datas_cut = static_cast<CutPlan::Datas>(datas);
   check_run(static_cast<std::uint64_t>(direction + 21), plan);
 }
+
+TEST_CASE("a process that hears others only through data nodes takes no key and holds no majority up",
+          "[hardening.cut_off_control]") {
+  // The owner and one more of five send and don't hear, but data nodes on both sides tell them who is alive.
+  const auto result = run_cutoff(140);
+  for (const auto& fault : result.faults) UNSCOPED_INFO(fault);
+  CHECK(result.faults.empty());
+}
