--- a/test/unit/listing.cpp
+++ b/test/unit/listing.cpp
@@ -16,8 +16,8 @@
   return dialect;
 }
 
-struct Asker {
-  Asker() {
+struct ListAsker {
+  ListAsker() {
     limits.list_address = "10.0.0.1:80";
     state.pace = 900;
   }
@@ -55,7 +55,7 @@
 }  // namespace
 
 TEST_CASE("the list is whole only with all its pages, and a failed ask keeps the last one") {
-  Asker asker;
+  ListAsker asker;
   const auto first = asker.tick(1000);
   REQUIRE(first);
   CHECK(first->path == "/units");
@@ -173,7 +173,7 @@
 }
 
 TEST_CASE("a holder's failed ask is tried again soon, unless it was told to slow down", "[placing]") {
-  Asker asker;
+  ListAsker asker;
   asker.state.retry = asker.state.pace / 4;
   REQUIRE(asker.tick(2000));
   Effects effects;
