The model takes keys at any moment still; no list asked for means that nothing is of the list

The model has no heartbeats, so its steps set whom a process has heard, as they set its views of members; the detector in the model allows more than the real one. Connection 0 is nobody's.

--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -54,7 +54,8 @@
   if (const auto* message = std::get_if<MessageArrived>(&event))
     return message->envelope.has_counter_report() || message->envelope.has_fleet_ask();
   // What the list says of leaving workers has a bound that all data nodes are held to.
-  const auto of_worker = [&](std::uint64_t pipe) { return pipe != state.placing.list.pipe; };
+  const auto list = state.placing.list.pipe;
+  const auto of_worker = [&](std::uint64_t pipe) { return list == 0 || pipe != list; };
   if (const auto* head = std::get_if<PipeHead>(&event)) return of_worker(head->pipe);
   if (const auto* bytes = std::get_if<PipeBytes>(&event)) return of_worker(bytes->pipe);
   const auto* ended = std::get_if<PipeEnded>(&event);
--- a/test/sim/modelactions.cpp
+++ b/test/sim/modelactions.cpp
@@ -27,6 +27,8 @@
       }
     view = {};
     view.vacant_since = now - long_ago;
+    // A key may be taken at any moment, whoever has been heard: more than the detector allows.
+    for (const auto disk : core_members(state.formation.core)) state.duty.heard[disk] = now;
     owner.since = owner.phase == OwnerPhase::idle ? now - long_ago : owner.since;
   }
 }
