Delivery in bytes, failing first: data nodes get each version whole, 2 to 6 times

Cause, as seen in the simulated world on the untouched logic: each change sends the whole document from both sources of a data node at once, and again from any source that is asked while a copy is still in the receiver's link, because the ask names the version that the asker had before. Accept and news between core processes carry the whole document for each change, too.

--- a/test/sim/capacity.cpp
+++ b/test/sim/capacity.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 
+#include "sim/messagekind.hpp"
 #include "sim/operators.hpp"
 
 namespace weldsail::sim {
@@ -30,15 +31,6 @@
   return std::visit([](const auto& state) -> const NewsState& { return state.news; }, node.state);
 }
 
-std::string kind_of(const wire::Envelope& envelope) {
-  static constexpr const char* names[] = {"ping",    "prepare",  "promise",     "accept",         "accepted",
-                                          "check",   "checked",  "form",        "news_ask",       "news",
-                                          "operate", "operated", "counter_ask", "counter_report", "claim",
-                                          "claimed", "copy_ask", "copy_answer", "fleet",          "fleet_ask"};
-  const auto place = static_cast<std::size_t>(envelope.body_case()) - wire::Envelope::kPing;
-  return place < std::size(names) ? names[place] : "other";
-}
-
 std::size_t live_seen(const SimNode& node) {
   std::size_t seen = 1;
   for (const auto& [number, view] : member_of(node).others)
@@ -155,7 +147,7 @@
   std::map<std::string, Counted> counted;
   CapacityCost cost;
   world.sent = [&](const SimNode& node, const SendMessage& message, std::size_t bytes) {
-    auto& rate = counted[node.address].sent[kind_of(message.envelope)];
+    auto& rate = counted[node.address].sent[message_kind(message.envelope.body_case())];
     rate.messages += 1;
     rate.bytes += static_cast<double>(bytes);
   };
--- a/test/sim/scenarios.hpp
+++ b/test/sim/scenarios.hpp
@@ -56,6 +56,10 @@
 /// Bytes and processor time of a change, by routes, changes recorded and the record's layout; any seed gives the same.
 ScenarioResult run_change_cost(std::uint64_t seed);
 
+/// One large configuration and small changes after or beside it, in quiet or trouble: bytes sent to each data node and
+/// between core processes.
+ScenarioResult run_delivery(std::uint64_t seed);
+
 /// Hundreds of changes, whole and amended, while members are down, emptied or frozen and disks slow, full or hung.
 ScenarioResult run_long_history(std::uint64_t seed);
 
--- a/test/sim/world.cpp
+++ b/test/sim/world.cpp
@@ -42,6 +42,7 @@
   node.unsynced.clear();
   node.syncing = false;
   node.inbox.clear();
+  links.clear(address);
   for (auto& [request, told] : std::exchange(node.told, {})) {
     const auto asker = node.askers.find(request);
     if (asker == node.askers.end()) continue;
--- a/test/sim/world.hpp
+++ b/test/sim/world.hpp
@@ -7,6 +7,7 @@
 
 #include "core/control.hpp"
 #include "core/data.hpp"
+#include "sim/links.hpp"
 
 namespace weldsail::sim {
 
@@ -116,6 +117,8 @@
   Moment doubled_most = 2000;
   Moment delay_most = 3;
   Moment tick = 50;
+  /// Rates of the nodes' links; none has a limit unless it is given one.
+  Links links;
   std::map<std::string, BackEnd> back_ends;
   /// Called before every step of a node.
   std::function<void(const SimNode&, const Event&, Moment local)> stepping;
@@ -139,6 +142,9 @@
   void step(SimNode& node, const Event& event);
   void carry_out(SimNode& node, const Effect& effect);
   void send(SimNode& node, const SendMessage& effect);
+  /// Takes a message from the network through the receiver's link.
+  void receive(const std::string& from, const std::string& to, wire::Envelope::BodyCase body, const std::string& bytes);
+  void arrive(const std::string& from, const std::string& to, const std::string& bytes);
   void open(SimNode& node, const OpenPipe& effect);
   void persist(SimNode& node, const Persist& effect);
   /// Syncs all that waits in one go, then what has come since.
--- a/test/sim/worldio.cpp
+++ b/test/sim/worldio.cpp
@@ -17,21 +17,43 @@
 void World::send(SimNode& node, const SendMessage& effect) {
   ++node.messages;
   const bool own = effect.address == node.address;
-  if (sent && !own) sent(node, effect, effect.envelope.ByteSizeLong());
+  const auto size = effect.envelope.ByteSizeLong();
+  const auto body = effect.envelope.body_case();
+  if (sent && !own) sent(node, effect, size);
+  const auto leaves = own ? now_ : links.carry(node.address, LinkSide::out, body, size, now_);
   if (!nodes_.contains(effect.address) || (!own && chance.happens(loss))) return;
   const auto from = node.address;
-  const auto arrival = own ? now_ : now_ + chance.between(0, delay_most);
+  const auto delay = own ? 0 : chance.between(0, delay_most);
   auto bytes = effect.envelope.SerializeAsString();
   if (node.former || nodes_.at(effect.address).former) bytes = former_shape(bytes);
-  const auto arrive = [this, from, to = effect.address, bytes] {
-    auto& target = nodes_.at(to);
-    if (!target.alive || blocked(from, to)) return;
-    wire::Envelope envelope;
-    envelope.ParseFromString(bytes);
-    give(to, target.life, MessageArrived{std::move(envelope)});
-  };
-  at(arrival, arrive);
-  if (!own && doubled > 0 && chance.happens(doubled)) at(arrival + chance.between(0, doubled_most), arrive);
+  const auto taken = [this, from, to = effect.address, body, bytes] { receive(from, to, body, bytes); };
+  if (leaves == now_)
+    at(now_ + delay, taken);
+  else
+    // What waits at a process that ends is lost with it.
+    at(leaves, [this, from, life = node.life, delay, taken] {
+      if (nodes_.at(from).life == life) at(now_ + delay, taken);
+    });
+  if (!own && doubled > 0 && chance.happens(doubled)) at(leaves + delay + chance.between(0, doubled_most), taken);
+}
+
+void World::receive(const std::string& from, const std::string& to, wire::Envelope::BodyCase body,
+                    const std::string& bytes) {
+  if (from == to || !links.limited(to, LinkSide::in)) return arrive(from, to, bytes);
+  const auto& target = nodes_.at(to);
+  if (!target.alive || blocked(from, to)) return;
+  const auto carried = links.carry(to, LinkSide::in, body, bytes.size(), now_);
+  at(carried, [this, from, to, bytes, life = target.life] {
+    if (nodes_.at(to).life == life) arrive(from, to, bytes);
+  });
+}
+
+void World::arrive(const std::string& from, const std::string& to, const std::string& bytes) {
+  const auto& target = nodes_.at(to);
+  if (!target.alive || blocked(from, to)) return;
+  wire::Envelope envelope;
+  envelope.ParseFromString(bytes);
+  give(to, target.life, MessageArrived{std::move(envelope)});
 }
 
 void World::open(SimNode& node, const OpenPipe& effect) {
