A leaving data node takes no request that may outlast it

Cause: after SIGTERM a data node went on taking whatever came on kept connections until its own end at 0.85 of the grace, and then cut all that was in hand.

Ruled out: an end before the node's own time (it ended 6.8 s after the signal, as planned), and the worker (its runs were cut by the node).

Change: for a third of the grace, at most the time for draining, requests are taken as before. After that only those whose deadline ends before the node does are taken; any other gets 503 at once with a short Retry-After, as it hasn't run. The leaving moved from paths/take.cpp to paths/leave.cpp.

--- a/src/core/forwarding/paths/state.hpp
+++ b/src/core/forwarding/paths/state.hpp
@@ -23,6 +23,8 @@
   std::map<std::string, std::uint64_t> outcomes;
   Moment next_watch = 0;
   Moment last_busy = 0;
+  /// When this node leaves: until then it takes requests that may outlast it.
+  Moment take_until = 0;
 };
 
 }  // namespace weldsail
--- a/src/core/forwarding/paths/take.cpp
+++ b/src/core/forwarding/paths/take.cpp
@@ -6,8 +6,8 @@
 namespace weldsail {
 namespace {
 
-// Part of the bound for leaving that is used to finish what is in hand.
-constexpr double leave_share = 0.85;
+// Parts of the bound, one of them the time to come back from a node that leaves to another one.
+constexpr Moment elsewhere_parts = 30;
 // Parts of the bound: two of them are the longest wait for a first configuration, one is the time to come back.
 constexpr Moment early_parts = 6;
 
@@ -113,6 +113,10 @@
   carry.body = event.body;
   carry.arrived = now;
   carry.due = now + std::min(carry.route.due, carry.call.wait > 0 ? carry.call.wait : carry.route.due);
+  if (path_outlasts(state, carry, now)) {
+    ++state.totals.not_run;
+    return answer_plain(event.request, 503, state.options.member.bound / elsewhere_parts, effects);
+  }
   carry.chain = part_chain(carry.call);
   carry.reader.last = carry.call.last_event;
   budget_request(path.budgets[carry.service], now);
@@ -127,30 +131,4 @@
   path_move(state, request, now, effects);
 }
 
-void path_leave(DataState& state, Moment now) {
-  state.leave_due = now + static_cast<Moment>(leave_share * static_cast<double>(state.options.limits.grace));
-  state.path.last_busy = now;
-}
-
-bool path_may_depart(DataState& state, Moment now, Effects& effects) {
-  if (state.leave_due == 0) return false;
-  if (now >= state.leave_due) {
-    while (!state.path.carries.empty()) {
-      auto& carry = state.path.carries.begin()->second;
-      if (carry_open(carry)) effects.push_back(CancelPipe{carry.tries.back().pipe});
-      path_end_try(state, carry, TryPhase::failed, "leaving", now, effects);
-      if (carry_may_have_run(carry) || carry.answer_begun)
-        path_break(state, carry, "leaving", now, effects);
-      else
-        path_refuse(state, carry, 503, "leaving", now, effects);
-    }
-    return true;
-  }
-  return state.path.carries.empty() && now - state.path.last_busy > state.options.member.bound;
-}
-
-bool path_ready(const DataState& state, Moment) {
-  return state.path.config.has_value() && state.path.fleet.known && !state.member.leaving;
-}
-
 }  // namespace weldsail
