A leaving node ends its connections in order and writes its answers out

Cause: answers after SIGTERM closed their connection only on some ways out (not a 404, a 502 or an early refusal), an answer begun before SIGTERM never did, and resting connections stayed open to the process's end. So callers of kept connections came back as late as 6.7 s after the signal. A turn went on after Depart, so a request read in it could be passed on by a process that ended. The end took 20 steps of the loop, which is no time at all when much happens, whatever was unwritten.

Change: from SIGTERM on the server itself closes each connection after its answer, also one whose head went out before; resting connections are closed after three quarters of the time in which requests are taken, and a request that crosses that close reaches nobody. A turn ends at Depart. The end lasts 200 ms, and longer until all answers are written, at most 0.7 of what the finishing leaves of the grace. The flag for closing in three places of the forwarding is gone.

Ruled out: closing resting connections at SIGTERM itself; their callers would mostly be sent here again until readiness has been asked twice.

That a process waits for unwritten answers is tested at the server only, not with a process.

--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -126,7 +126,7 @@
   if (state.options.dialect != nullptr) path_tick(state, now, effects);
   if (state.leave_due == 0) return;
   if (state.options.dialect != nullptr) {
-    if (path_may_depart(state, now, effects)) effects.push_back(Depart{});
+    if (path_may_depart(state, now, effects)) effects.push_back(Depart{path_write_time(state)});
     return;
   }
   if (state.carries.empty() || now >= state.leave_due) effects.push_back(Depart{});
@@ -136,6 +136,7 @@
   if (state.member.leaving) return;
   member_leave(state.member, news_known(state.news), effects);
   state.leave_due = now + state.options.leave_limit;
+  effects.push_back(CloseAfterAnswers{});
   if (state.options.dialect != nullptr) return path_leave(state, now);
   std::vector<std::uint64_t> held;
   for (auto& [request, carry] : state.carries)
--- a/src/core/effect.hpp
+++ b/src/core/effect.hpp
@@ -57,6 +57,10 @@
   std::uint64_t request;
   bool whole;
 };
+/// From now on every answer asks to close its connection, and the connection is closed after it.
+struct CloseAfterAnswers {};
+/// Close the connections that have carried a request and on which none is under way.
+struct CloseResting {};
 /// Keep records on the disk; empty bytes remove a name.
 struct Persist {
   std::uint64_t token;
@@ -68,12 +72,15 @@
   std::vector<std::pair<std::string, std::string>> fields;
   bool grave = false;
 };
-/// The process may end.
-struct Depart {};
+/// The process may end, once its answers are written out.
+struct Depart {
+  /// Longest time for that, in milliseconds.
+  Moment write_time = 200;
+};
 
 /// What a step asks of the outside, as data.
-using Effect =
-    std::variant<SendMessage, OpenPipe, CancelPipe, Answer, AnswerHead, AnswerBytes, AnswerEnd, Persist, Note, Depart>;
+using Effect = std::variant<SendMessage, OpenPipe, CancelPipe, Answer, AnswerHead, AnswerBytes, AnswerEnd,
+                            CloseAfterAnswers, CloseResting, Persist, Note, Depart>;
 using Effects = std::vector<Effect>;
 
 /// Adds a log line to the effects.
--- a/src/core/forwarding/paths/finish.cpp
+++ b/src/core/forwarding/paths/finish.cpp
@@ -29,14 +29,12 @@
 // These say that a request has not run and never will: only who knows that may say so.
 bool promises(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
-void pass_on(const DataState& state, PathCarry& carry, Effects& effects) {
+void pass_on(PathCarry& carry, Effects& effects) {
   if (promises(carry.status)) {
     effects.push_back(Answer{carry.request, 502, {}, {}});
     return;
   }
-  Answer answer{carry.request, carry.status, carry.head.headers, std::move(carry.answer)};
-  answer.close = state.member.leaving;
-  effects.push_back(std::move(answer));
+  effects.push_back(Answer{carry.request, carry.status, carry.head.headers, std::move(carry.answer)});
 }
 
 }  // namespace
@@ -46,7 +44,7 @@
   if (carry.answer_begun)
     effects.push_back(AnswerEnd{carry.request, true});
   else
-    pass_on(state, carry, effects);
+    pass_on(carry, effects);
   drop(state, carry, "finished", now, effects);
 }
 
@@ -60,7 +58,6 @@
         wait == 0 ? 0 : static_cast<Moment>(mix(state.random ^ carry.request) % static_cast<std::uint64_t>(wait));
     answer.headers.push_back({"retry-after", seconds_text(wait / 2 + spread / 2)});
   }
-  answer.close = state.member.leaving;
   effects.push_back(std::move(answer));
   drop(state, carry, reason, now, effects);
 }
@@ -71,7 +68,7 @@
     ++state.totals.streams_broken;
     effects.push_back(AnswerEnd{carry.request, false});
   } else if (carry.answer_whole) {
-    pass_on(state, carry, effects);
+    pass_on(carry, effects);
   } else {
     effects.push_back(Answer{carry.request, now >= carry.due ? 504 : 502, {}, {}});
   }
--- a/src/core/forwarding/paths/leave.cpp
+++ b/src/core/forwarding/paths/leave.cpp
@@ -9,13 +9,33 @@
 constexpr double leave_share = 0.85;
 // Parts of the grace; within the first of them a node that leaves still takes requests that may outlast it.
 constexpr Moment take_parts = 3;
+// Share of the time for taking requests after which the connections that rest are closed.
+constexpr double rest_share = 0.75;
+// Share of what the finishing leaves of the grace in which answers may still be written out.
+constexpr double write_share = 0.7;
+
+Moment share_of(double share, Moment time) { return static_cast<Moment>(share * static_cast<double>(time)); }
+
+void break_off(DataState& state, Moment now, Effects& effects) {
+  while (!state.path.carries.empty()) {
+    auto& carry = state.path.carries.begin()->second;
+    if (carry_open(carry)) effects.push_back(CancelPipe{carry.tries.back().pipe});
+    path_end_try(state, carry, TryPhase::failed, "leaving", now, effects);
+    if (carry_may_have_run(carry) || carry.answer_begun)
+      path_break(state, carry, "leaving", now, effects);
+    else
+      path_refuse(state, carry, 503, "leaving", now, effects);
+  }
+}
 
 }  // namespace
 
 void path_leave(DataState& state, Moment now) {
   const auto& limits = state.options.limits;
-  state.leave_due = now + static_cast<Moment>(leave_share * static_cast<double>(limits.grace));
-  state.path.take_until = now + std::min(limits.grace / take_parts, limits.drain);
+  const auto take_time = std::min(limits.grace / take_parts, limits.drain);
+  state.leave_due = now + share_of(leave_share, limits.grace);
+  state.path.take_until = now + take_time;
+  state.path.close_resting_at = now + share_of(rest_share, take_time);
   state.path.last_busy = now;
 }
 
@@ -25,21 +45,22 @@
 
 bool path_may_depart(DataState& state, Moment now, Effects& effects) {
   if (state.leave_due == 0) return false;
+  if (state.path.close_resting_at != 0 && now >= state.path.close_resting_at) {
+    state.path.close_resting_at = 0;
+    effects.push_back(CloseResting{});
+  }
   if (now >= state.leave_due) {
-    while (!state.path.carries.empty()) {
-      auto& carry = state.path.carries.begin()->second;
-      if (carry_open(carry)) effects.push_back(CancelPipe{carry.tries.back().pipe});
-      path_end_try(state, carry, TryPhase::failed, "leaving", now, effects);
-      if (carry_may_have_run(carry) || carry.answer_begun)
-        path_break(state, carry, "leaving", now, effects);
-      else
-        path_refuse(state, carry, 503, "leaving", now, effects);
-    }
+    break_off(state, now, effects);
     return true;
   }
   return state.path.carries.empty() && now - state.path.last_busy > state.options.member.bound;
 }
 
+Moment path_write_time(const DataState& state) {
+  const auto grace = state.options.limits.grace;
+  return share_of(write_share, grace - share_of(leave_share, grace));
+}
+
 bool path_ready(const DataState& state, Moment) {
   return state.path.config.has_value() && state.path.fleet.known && !state.member.leaving;
 }
--- a/src/core/forwarding/paths/path.hpp
+++ b/src/core/forwarding/paths/path.hpp
@@ -28,6 +28,8 @@
 bool path_outlasts(const DataState& state, const PathCarry& carry, Moment now);
 /// True when nothing is left to finish, or the time for it is over and all have their final answer.
 bool path_may_depart(DataState& state, Moment now, Effects& effects);
+/// Time that a departing node may use to write its answers out.
+Moment path_write_time(const DataState& state);
 
 /// Brings a request in line with the configuration in force; false when that has no place for it.
 bool path_place(const DataState& state, PathCarry& carry);
--- a/src/core/forwarding/paths/pipe.cpp
+++ b/src/core/forwarding/paths/pipe.cpp
@@ -84,9 +84,7 @@
   if (!whole.empty()) {
     if (!carry.answer_begun) {
       carry.answer_begun = true;
-      AnswerHead head{carry.request, carry.status, carry.head.headers};
-      head.close = state.member.leaving;
-      effects.push_back(std::move(head));
+      effects.push_back(AnswerHead{carry.request, carry.status, carry.head.headers});
     }
     carry.last_event = now;
     count_events(state, carry, whole, now, effects);
--- a/src/core/forwarding/paths/state.hpp
+++ b/src/core/forwarding/paths/state.hpp
@@ -25,6 +25,8 @@
   Moment last_busy = 0;
   /// When this node leaves: until then it takes requests that may outlast it.
   Moment take_until = 0;
+  /// When a leaving node closes the connections that rest; 0: not, or done.
+  Moment close_resting_at = 0;
 };
 
 }  // namespace weldsail
--- a/src/shell/connectionpool.cpp
+++ b/src/shell/connectionpool.cpp
@@ -5,17 +5,13 @@
 #include <cerrno>
 
 namespace weldsail {
-namespace {
 
-/// True when the connection is open and nothing has come on it, as far as the system knows by now.
 bool rests(h2o_socket_t* socket) {
   char byte = 0;
   const auto got = recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-}  // namespace
-
 ConnectionPool::~ConnectionPool() {
   for (const auto& [address, items] : idle_)
     for (const auto& item : items) h2o_socket_close(item.socket);
--- a/src/shell/connectionpool.hpp
+++ b/src/shell/connectionpool.hpp
@@ -8,6 +8,9 @@
 
 namespace weldsail {
 
+/// True when a connection is open and nothing has come on it, as far as the system knows by now.
+bool rests(h2o_socket_t* socket);
+
 /// Connections that rest between two exchanges, by address. Each is watched while it rests: whatever comes then, bytes
 /// or the end, belongs to no request, and the connection is dropped.
 class ConnectionPool {
--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -13,6 +13,10 @@
 constexpr int aside_door = 1;
 /// Milliseconds of work that may wait before the loop looks for urgent events again.
 constexpr Moment turn_most = 4;
+/// Milliseconds in which a departing process still answers who asks on an open connection.
+constexpr Moment farewell = 200;
+/// Longest step of the loop in that time.
+constexpr int write_pause = 10;
 /// Events that may wait; messages beyond are dropped.
 constexpr std::size_t later_most = 4096;
 
@@ -72,15 +76,24 @@
   }
   messenger_.flush();
   callers_.close();
-  for (int turn = 0; turn < 20; ++turn) {
-    loop_.step(10);
+  write_out();
+  messenger_.close();
+  log_note({"process.end", {}, false});
+}
+
+template <typename State>
+void Node<State>::write_out() {
+  callers_.close_after_answers();
+  callers_.close_resting();
+  const auto begun = monotonic_now();
+  for (auto now = begun; now < begun + farewell || (callers_.writing() && now < begun + write_time_);
+       now = monotonic_now()) {
+    loop_.step(write_pause);
     // Who still asks on an open pipe hears that nothing was run, and that the pipe ends.
     for (const auto& event : std::exchange(events_, {}))
       if (const auto* request = std::get_if<RequestArrived>(&event))
         callers_.answer({request->request, 503, {{"retry-after", "0.1"}}, {}, true});
   }
-  messenger_.close();
-  log_note({"process.end", {}, false});
 }
 
 template <typename State>
@@ -100,9 +113,9 @@
   };
   const auto until = monotonic_now() + turn_most;
   do {
-    while (!events_.empty()) take_first(events_);
-    if (!later_.empty()) take_first(later_);
-  } while (!events_.empty() || (!later_.empty() && monotonic_now() < until));
+    while (!departed_ && !events_.empty()) take_first(events_);
+    if (!departed_ && !later_.empty()) take_first(later_);
+  } while (!departed_ && (!events_.empty() || (!later_.empty() && monotonic_now() < until)));
 }
 
 template <typename State>
@@ -142,11 +155,16 @@
                  [this](const AnswerHead& item) { callers_.head(item); },
                  [this](const AnswerBytes& item) { callers_.bytes(item); },
                  [this](const AnswerEnd& item) { callers_.end(item); },
+                 [this](const CloseAfterAnswers&) { callers_.close_after_answers(); },
+                 [this](const CloseResting&) { callers_.close_resting(); },
                  [this](const Persist& item) {
                    if (disk_) disk_->persist(item);
                  },
                  [](const Note& item) { log_note(item); },
-                 [this](const Depart&) { departed_ = true; },
+                 [this](const Depart& item) {
+                   departed_ = true;
+                   write_time_ = item.write_time;
+                 },
              },
              effect);
 }
--- a/src/shell/pipes.cpp
+++ b/src/shell/pipes.cpp
@@ -1,8 +1,10 @@
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <set>
 
+#include "shell/connectionpool.hpp"
 #include "shell/serverparts.hpp"
 
 namespace weldsail {
@@ -108,6 +110,22 @@
   if (input > input_bodies * limits_.body && largest != nullptr) shut(largest);
 }
 
+void Server::close_resting() {
+  std::set<h2o_socket_t*> answering;
+  for (const auto& [number, pending] : pending_) answering.insert(pending->socket());
+  for (const auto& [socket, pipe] : pipes_) {
+    const bool used = socket->bytes_read > 0;
+    const bool receiving = socket->input != nullptr && socket->input->size > 0;
+    if (!used || receiving || answering.contains(socket) || !rests(socket)) continue;
+    pipe->closed = true;
+    shut(socket);
+  }
+}
+
+bool Server::writing() const {
+  return std::ranges::any_of(pending_, [](const auto& item) { return item.second->ending; });
+}
+
 void Server::sweep(Moment now) {
   if (now < next_sweep_) return;
   next_sweep_ = now + sweep_pause;
--- a/src/shell/server.cpp
+++ b/src/shell/server.cpp
@@ -90,9 +90,13 @@
   const auto& authority = request->input.authority;
   // Without a Host header h2o puts its own host's name there.
   if (authority.base != request->hostconf->authority.hostport.base) event.authority = text_of(authority);
-  if (const auto pipe = server->pipes_.find(pending->socket()); pipe != server->pipes_.end())
-    event.door = pipe->second->door;
-  server->arrived.emit(event);
+  const auto pipe = server->pipes_.find(pending->socket());
+  if (pipe != server->pipes_.end()) event.door = pipe->second->door;
+  // What crossed the close of its connection can't be answered, so nobody may begin it.
+  if (pipe != server->pipes_.end() && pipe->second->closed)
+    server->answer({pending->number, 503, {}, {}, true});
+  else
+    server->arrived.emit(event);
   return 0;
 }
 
@@ -121,7 +125,7 @@
   pending.bodiless = without_body(*request, head.status);
   pending.left = head.length.value_or(SIZE_MAX);
   const bool until_close = request->version < version_with_chunks && !head.length && !pending.bodiless;
-  if (head.close || until_close) request->http1_is_persistent = 0;
+  if (head.close || until_close || closes_after_answers_) request->http1_is_persistent = 0;
   request->res.reason = head.status < 300 ? "OK" : "Refused";
   const bool untold = head.status < 200 || head.status == 204 || head.status == 304;
   request->res.content_length = untold ? SIZE_MAX : pending.left;
@@ -188,6 +192,8 @@
   const bool rest = pending.ending && !pending.whole && buffer.len > 0;
   pending.ended = pending.ending && !rest;
   if (pending.ended && !pending.whole) show_cut(pending);
+  // Its head may have gone out before that held.
+  if (pending.ended && closes_after_answers_) pending.request->http1_is_persistent = 0;
   const auto last = pending.whole ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_ERROR;
   pending.begun = true;
   h2o_send(pending.request, &buffer, buffer.len > 0 ? 1 : 0, pending.ended ? last : H2O_SEND_STATE_IN_PROGRESS);
--- a/src/shell/server.hpp
+++ b/src/shell/server.hpp
@@ -41,6 +41,12 @@
   void head(const AnswerHead& effect);
   void bytes(const AnswerBytes& effect);
   void end(const AnswerEnd& effect);
+  /// From now on every answer asks to close its connection, and the connection is closed after it.
+  void close_after_answers() { closes_after_answers_ = true; }
+  /// Closes the connections that have carried a request and on which none is under way.
+  void close_resting();
+  /// True while an ended answer isn't yet handed to the system whole.
+  bool writing() const;
   /// Looks for askers that have closed their pipe, and closes pipes that are past the limits.
   void sweep(Moment now);
   std::size_t open_pipes() const { return pipes_.size(); }
@@ -70,6 +76,7 @@
   std::map<std::uint64_t, Pending*> pending_;
   std::map<h2o_socket_t*, std::unique_ptr<Pipe>> pipes_;
   ServerLimits limits_;
+  bool closes_after_answers_ = false;
   Moment next_sweep_ = 0;
   std::uint64_t next_ = 1;
 };
--- a/test/unit/leaving.cpp
+++ b/test/unit/leaving.cpp
@@ -1,8 +1,57 @@
+#include <utility>
+
 #include "unit/pathbench.hpp"
+#include "unit/rawsocket.hpp"
 
 using namespace weldsail;
 using Bench = unit::PathBench;
 
+namespace {
+
+constexpr std::uint64_t none = 0;
+const std::string get = "GET /a HTTP/1.1\r\nhost: x\r\n\r\n";
+
+/// A server with one raw caller, and the last request that came.
+struct Connection {
+  Loop loop;
+  Server server{loop, {}};
+  std::string address = *server.listen("127.0.0.1:0");
+  std::uint64_t last = none;
+  std::unique_ptr<RawSocket> caller = raw_caller(address);
+
+  Connection() {
+    server.arrived.connect([this](const RequestArrived& request) { last = request.request; });
+  }
+  /// Says a request and waits until it has come.
+  std::uint64_t ask() {
+    last = none;
+    caller->say(get);
+    REQUIRE(pump(loop, [&] { return last != none; }));
+    return last;
+  }
+  bool hears(const std::string& text) {
+    return pump(loop, [&] {
+      caller->hear();
+      return caller->got.find(text) != std::string::npos;
+    });
+  }
+  /// Steps the loop until the server has ended the connection.
+  bool ends() {
+    return pump(loop, [&] {
+      caller->hear();
+      return caller->ended;
+    });
+  }
+  /// Steps the loop for a moment; true when the server has kept the connection.
+  bool stays() {
+    for (int turn = 0; turn < 50; ++turn) loop.step(1);
+    caller->hear();
+    return !caller->ended;
+  }
+};
+
+}  // namespace
+
 TEST_CASE("a leaving node takes no request that could outlast it, and says at once when to come back", "[carry]") {
   Bench bench;
   const auto begun = bench.now;
@@ -36,3 +85,116 @@
   CHECK(bench.all<OpenPipe>().empty());
   CHECK(bench.only<Answer>().status == 503);
 }
+
+TEST_CASE("a leaving node lets no answer keep its connection, and ends those that rest before it stops taking work",
+          "[carry]") {
+  Bench bench;
+  const auto begun = bench.now;
+  bench.effects = reduce(bench.state, Leaving{}, begun);
+  CHECK(bench.all<CloseAfterAnswers>().size() == 1);
+  CHECK(bench.all<CloseResting>().empty());
+  CHECK_FALSE(path_ready(bench.state, begun));
+  std::size_t closed = 0;
+  for (bench.now = begun; bench.now < begun + bench.state.options.limits.grace / 3; bench.now += 50) {
+    bench.effects.clear();
+    CHECK_FALSE(path_may_depart(bench.state, bench.now, bench.effects));
+    closed += bench.all<CloseResting>().size();
+    if (bench.now < begun + bench.state.options.limits.grace / 8) CHECK(closed == 0);
+  }
+  CHECK(closed == 1);
+}
+
+TEST_CASE("a leaving node has time left to write its answers out, and not more than its grace") {
+  Bench bench;
+  const auto begun = bench.now;
+  reduce(bench.state, Leaving{}, begun);
+  bench.ask("/note/x");
+  bench.now = bench.state.leave_due;
+  bench.effects = reduce(bench.state, Ticked{1}, bench.now);
+  const auto write_time = bench.only<Depart>().write_time;
+  CHECK(write_time >= 200);
+  CHECK(bench.now + write_time < begun + bench.state.options.limits.grace);
+}
+
+TEST_CASE("a server that ends connections after answers says so, and ends those of answers already begun") {
+  Connection connection;
+  const auto number = connection.ask();
+  if (GENERATE(true, false)) {
+    connection.server.close_after_answers();
+    connection.server.answer({number, 200, {}, "whole"});
+    REQUIRE(connection.hears("whole"));
+    CHECK(connection.hears("Connection: close\r\n"));
+  } else {
+    connection.server.head({number, 200, {}});
+    connection.server.bytes({number, "part"});
+    REQUIRE(connection.hears("part"));
+    CHECK(connection.hears("Connection: keep-alive\r\n"));
+    connection.server.close_after_answers();
+    connection.server.bytes({number, "rest"});
+    connection.server.end({number, true});
+    CHECK(connection.hears("rest\r\n0\r\n\r\n"));
+  }
+  REQUIRE(connection.ends());
+  CHECK_FALSE(connection.caller->reset);
+}
+
+TEST_CASE("a resting connection is ended in order, one in use or not yet used is kept") {
+  Connection connection;
+  SECTION("resting") {
+    connection.server.answer({connection.ask(), 200, {}, "first"});
+    REQUIRE(connection.hears("first"));
+    connection.server.close_resting();
+    REQUIRE(connection.ends());
+    CHECK_FALSE(connection.caller->reset);
+    CHECK(pump(connection.loop, [&] { return connection.server.open_pipes() == 0; }));
+  }
+  SECTION("not yet used") {
+    REQUIRE(pump(connection.loop, [&] { return connection.server.open_pipes() == 1; }));
+    connection.server.close_resting();
+    CHECK(connection.stays());
+    connection.ask();
+  }
+  SECTION("with a request in hand") {
+    const auto number = connection.ask();
+    connection.server.close_resting();
+    CHECK(connection.stays());
+    connection.server.answer({number, 200, {}, "whole"});
+    CHECK(connection.hears("whole"));
+  }
+  SECTION("with a part of a request") {
+    connection.server.answer({connection.ask(), 200, {}, "first"});
+    REQUIRE(connection.hears("first"));
+    const auto half = get.size() / 2;
+    connection.caller->say(get.substr(0, half));
+    if (GENERATE(true, false)) CHECK(connection.stays());
+    connection.server.close_resting();
+    CHECK(connection.stays());
+    connection.last = none;
+    connection.caller->say(get.substr(half));
+    CHECK(pump(connection.loop, [&] { return connection.last != none; }));
+  }
+}
+
+TEST_CASE("a request that crosses the end of its connection is never told") {
+  Connection connection;
+  connection.server.answer({connection.ask(), 200, {}, "first"});
+  REQUIRE(connection.hears("first"));
+  connection.last = none;
+  connection.server.close_resting();
+  connection.caller->try_say(get);
+  REQUIRE(connection.ends());
+  for (int turn = 0; turn < 20; ++turn) connection.loop.step(1);
+  CHECK(connection.last == none);
+}
+
+TEST_CASE("a server knows that an answer is still being written") {
+  Connection connection;
+  const auto number = connection.ask();
+  CHECK_FALSE(connection.server.writing());
+  connection.server.answer({number, 200, {}, std::string(16U << 20U, 'x')});
+  CHECK(connection.server.writing());
+  CHECK(pump(connection.loop, [&] {
+    connection.caller->hear();
+    return !connection.server.writing();
+  }));
+}
