--- a/src/core/configuration/currency.cpp
+++ b/src/core/configuration/currency.cpp
@@ -7,17 +7,12 @@
 
 constexpr Moment rounds_per_bound = 6;
 
-std::uint64_t own_version(const NewsState& news) {
-  const auto found = news.values.find(config_key);
-  return found == news.values.end() ? 0 : found->second.version();
-}
-
 /// A disk that has accepted more proves nothing: that may or may not have been acknowledged.
 void judge_round(const CurrencyState& state, NewsState& news, const wire::Core& core) {
   if (state.round == 0 || state.core != core_tag(core)) return;
   std::set<std::uint64_t> agreeing;
   for (const auto& [disk, version] : state.accepted)
-    if (version <= own_version(news)) agreeing.insert(disk);
+    if (version <= news_version(news, config_key)) agreeing.insert(disk);
   if (core_majority(core, agreeing)) news_prove_current(news, state.round);
 }
 
--- a/src/core/configuration/fetch.cpp
+++ b/src/core/configuration/fetch.cpp
@@ -6,6 +6,7 @@
 #include "core/consensus/duty.hpp"
 #include "core/delta.hpp"
 #include "core/hash.hpp"
+#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 namespace {
@@ -13,17 +14,11 @@
 /// An answer may take this part of the bound at first, and twice as long after each that didn't come.
 constexpr Moment answers_per_bound = 10;
 constexpr Moment patience_doublings = 3;
-/// A version that is missing for this part of the bound makes the one here too old to be served.
-constexpr Moment late_per_bound = 2;
 constexpr std::size_t sources_most = 8;
-constexpr std::size_t missing_most = 64;
-
-std::uint64_t own_version(const NewsState& state, const std::string& key) {
-  const auto found = state.values.find(key);
-  return found == state.values.end() ? 0 : found->second.version();
-}
+constexpr std::size_t value_most = 64U << 20U;
 
 Moment first_patience(const NewsState& state) { return state.bound / answers_per_bound; }
+Moment most_patience(const NewsState& state) { return first_patience(state) << patience_doublings; }
 
 void ask_part(const MemberState& member, const std::string& key, Fetch& fetch, Moment now, Effects& effects) {
   auto envelope = member_envelope(member, fetch.source);
@@ -36,15 +31,22 @@
   effects.push_back(SendMessage{fetch.address, std::move(envelope)});
 }
 
-/// The source with the newest version; another than `avoided` where there is one.
+bool is_control(const MemberState& member, std::uint64_t node) {
+  const auto found = member.others.find(node);
+  return found != member.others.end() && found->second.entry.program() == static_cast<std::uint32_t>(Program::control);
+}
+
+/// The best source: a live one, another than `avoided`, a control process, which keeps links between versions, with the
+/// newest version; among equals each asker has its own order.
 std::optional<std::uint64_t> pick_source(const NewsState& state, const MemberState& member, const std::string& key,
                                          std::uint64_t avoided) {
   const auto offers = state.delivery.sources.find(key);
   if (offers == state.delivery.sources.end()) return std::nullopt;
   std::optional<std::uint64_t> best;
-  std::tuple<bool, bool, std::uint64_t> best_rank;
+  std::tuple<bool, bool, bool, std::uint64_t, std::uint64_t> best_rank;
   for (const auto& [node, source] : offers->second) {
-    const std::tuple rank{node != avoided, member_live(member, node), source.version};
+    const std::tuple rank{member_live(member, node), node != avoided, is_control(member, node), source.version,
+                          mix(member.self.node() ^ node)};
     if (best && rank <= best_rank) continue;
     best = node;
     best_rank = rank;
@@ -112,11 +114,20 @@
   return followed;
 }
 
-/// True when a part is the one that was asked for last, or the begin of other content that is as new at least.
-bool fits(NewsState& state, Fetch& fetch, const wire::ValuePart& part) {
-  const bool same = part.version() == fetch.version && part.base_version() == fetch.base_version;
+/// Lets go of a source that isn't live, else of the one with the oldest version.
+void make_room(std::map<std::uint64_t, ValueSource>& sources, const MemberState& member) {
+  const auto worst = std::ranges::min_element(
+      sources, {}, [&](const auto& item) { return std::pair(member_live(member, item.first), item.second.version); });
+  sources.erase(worst);
+}
+
+/// True when a part is the one that was asked for last, or the begin of other content that the source has in its place.
+bool fits(NewsState& state, Fetch& fetch, std::uint64_t sender, const wire::ValuePart& part) {
+  const bool begun = !fetch.received.empty();
+  const bool same = part.version() == fetch.version && part.base_version() == fetch.base_version &&
+                    (!begun || part.size() == fetch.size);
   if (same && part.offset() == fetch.received.size()) return true;
-  if (same || part.offset() != 0 || part.version() < fetch.version) return false;
+  if (same || part.offset() != 0 || part.version() < fetch.version || sender != fetch.source) return false;
   if (!fetch.received.empty()) ++state.delivery.counters.fetches_restarted;
   fetch.received.clear();
   return true;
@@ -126,15 +137,16 @@
 
 void fetch_offered(NewsState& state, const MemberState& member, const wire::Envelope& envelope,
                    const wire::Known& offer, Moment now, Effects& effects) {
-  const auto own = own_version(state, offer.key());
+  const auto own = news_version(state, offer.key());
   if (offer.version() <= own) return;
   auto& delivery = state.delivery;
-  if (offer.key() == config_key && delivery.missing.size() < missing_most)
-    delivery.missing.try_emplace(offer.version(), now);
+  fetch_missing(state, offer, now);
   auto& sources = delivery.sources[offer.key()];
-  if (sources.size() >= sources_most && !sources.contains(envelope.from())) return;
+  if (sources.size() >= sources_most && !sources.contains(envelope.from())) make_room(sources, member);
   sources[envelope.from()] = {envelope.address(), offer.version()};
-  if (!delivery.fetches.contains(offer.key())) begin(state, member, offer.key(), own, 0, now, effects);
+  const auto fetch = delivery.fetches.find(offer.key());
+  if (fetch == delivery.fetches.end()) return begin(state, member, offer.key(), own, 0, now, effects);
+  if (!member_live(member, fetch->second.source)) fetch->second.patience = 0;
 }
 
 std::optional<wire::RegisterValue> fetch_part(NewsState& state, const MemberState& member,
@@ -143,17 +155,18 @@
   auto& delivery = state.delivery;
   delivery.counters.bytes_received += part.bytes().size();
   const auto found = delivery.fetches.find(part.key());
-  if (found == delivery.fetches.end() || !fits(state, found->second, part)) return std::nullopt;
+  if (found == delivery.fetches.end() || !fits(state, found->second, envelope.from(), part)) return std::nullopt;
   auto& fetch = found->second;
   const bool empty = part.bytes().empty() && part.size() > 0;
-  if (empty || fetch.received.size() + part.bytes().size() > part.size()) return std::nullopt;
+  if (empty || part.size() > value_most || fetch.received.size() + part.bytes().size() > part.size())
+    return std::nullopt;
   fetch.version = part.version();
   fetch.epoch = part.epoch();
   fetch.base_version = part.base_version();
   fetch.size = part.size();
   fetch.value_hash = part.value_hash();
   fetch.received += part.bytes();
-  fetch.patience = first_patience(state);
+  fetch.patience = std::clamp(2 * (now - fetch.asked), first_patience(state), most_patience(state));
   if (fetch.received.size() < fetch.size) {
     // Whoever answers is asked for the rest: it may be a former source whose answer was late.
     fetch.source = envelope.from();
@@ -164,7 +177,8 @@
   auto value = read_content(state, part.key(), fetch);
   if (!value) {
     // A chain that doesn't begin here, as another version has come meanwhile: the value itself always fits.
-    if (fetch.base_version == 0) ++delivery.counters.violations;
+    if (fetch.base_version == 0)
+      delivery_violated(delivery, "a whole value is what its hash says", part.key(), fetch.version, effects);
     begin_anew(state, member, part.key(), 0, now, effects);
     return std::nullopt;
   }
@@ -173,7 +187,7 @@
 }
 
 void fetch_learned(NewsState& state, const MemberState& member, const std::string& key, Moment now, Effects& effects) {
-  const auto own = own_version(state, key);
+  const auto own = news_version(state, key);
   auto& delivery = state.delivery;
   if (key == config_key) delivery.missing.erase(delivery.missing.begin(), delivery.missing.upper_bound(own));
   const auto sources = delivery.sources.find(key);
@@ -197,19 +211,13 @@
       continue;
     }
     ++state.delivery.counters.parts_repeated;
+    // A chain from elsewhere may have other links; a whole value is the same wherever it comes from.
+    if (*source != fetch.source && fetch.base_version != 0) fetch.received.clear();
     fetch.source = *source;
     fetch.address = state.delivery.sources[key][*source].address;
-    fetch.patience = std::min(2 * fetch.patience, first_patience(state) << patience_doublings);
+    fetch.patience = std::min(2 * fetch.patience, most_patience(state));
     ask_part(member, key, fetch, now, effects);
   }
 }
 
-bool fetch_behind(const NewsState& state) { return !state.delivery.missing.empty(); }
-
-bool fetch_late(const NewsState& state, Moment now) {
-  const auto& missing = state.delivery.missing;
-  return std::ranges::any_of(missing,
-                             [&](const auto& item) { return now - item.second > state.bound / late_per_bound; });
-}
-
 }  // namespace weldsail
--- a/src/core/configuration/fetch.hpp
+++ b/src/core/configuration/fetch.hpp
@@ -5,6 +5,8 @@
 
 namespace weldsail {
 
+/// Takes note that a version is committed somewhere, by an offer or by what a ping tells.
+void fetch_missing(NewsState& state, const wire::Known& known, Moment now);
 /// Takes note that a process has a version of a value, and fetches it where it is newer than the one here, unless the
 /// value is being fetched already: nothing large is under way twice.
 void fetch_offered(NewsState& state, const MemberState& member, const wire::Envelope& envelope,
@@ -16,6 +18,9 @@
 void fetch_learned(NewsState& state, const MemberState& member, const std::string& key, Moment now, Effects& effects);
 /// Asks for parts once more that haven't come, of another source where there is one.
 void fetch_tick(NewsState& state, const MemberState& member, Moment now, Effects& effects);
+/// Counts a broken invariant and says so in the log.
+void delivery_violated(DeliveryState& state, const char* invariant, const std::string& key, std::uint64_t version,
+                       Effects& effects);
 /// True where a newer configuration is known to be committed than the one here.
 bool fetch_behind(const NewsState& state);
 /// True where that has been so for so long that the older one isn't to be served on.
--- /dev/null
+++ b/src/core/configuration/missing.cpp
@@ -0,0 +1,44 @@
+#include <algorithm>
+
+#include "core/configuration/fetch.hpp"
+#include "core/consensus/duty.hpp"
+
+/// Which committed versions of the configuration a process knows of and doesn't have yet.
+namespace weldsail {
+namespace {
+
+/// A version that is missing for this part of the bound makes the one here too old to be served.
+constexpr Moment late_per_bound = 2;
+constexpr std::size_t missing_most = 64;
+
+}  // namespace
+
+void fetch_missing(NewsState& state, const wire::Known& known, Moment now) {
+  auto& missing = state.delivery.missing;
+  if (known.key() != config_key || known.version() <= news_version(state, known.key())) return;
+  if (missing.size() < missing_most || known.version() < missing.rbegin()->first) {
+    if (missing.size() < missing_most) missing.try_emplace(known.version(), now);
+    return;
+  }
+  // The newest stands for those that there is no room for.
+  const auto since = missing.rbegin()->second;
+  missing.erase(std::prev(missing.end()));
+  missing.try_emplace(known.version(), since);
+}
+
+void delivery_violated(DeliveryState& state, const char* invariant, const std::string& key, std::uint64_t version,
+                       Effects& effects) {
+  ++state.counters.violations;
+  note(effects, "invariant.violated", {{"invariant", invariant}, {"key", key}, {"version", std::to_string(version)}},
+       true);
+}
+
+bool fetch_behind(const NewsState& state) { return !state.delivery.missing.empty(); }
+
+bool fetch_late(const NewsState& state, Moment now) {
+  const auto& missing = state.delivery.missing;
+  return std::ranges::any_of(missing,
+                             [&](const auto& item) { return now - item.second > state.bound / late_per_bound; });
+}
+
+}  // namespace weldsail
--- a/src/core/configuration/news.cpp
+++ b/src/core/configuration/news.cpp
@@ -13,8 +13,7 @@
 constexpr Moment proofs_per_bound = 2;
 
 bool newer(const NewsState& state, const std::string& key, std::uint64_t version) {
-  const auto found = state.values.find(key);
-  return found == state.values.end() || version > found->second.version();
+  return !state.values.contains(key) || version > news_version(state, key);
 }
 
 /// Whoever has been given news is no longer remembered as one who waits: it asks again.
@@ -50,6 +49,11 @@
 
 }  // namespace
 
+std::uint64_t news_version(const NewsState& state, const std::string& key) {
+  const auto found = state.values.find(key);
+  return found == state.values.end() ? 0 : found->second.version();
+}
+
 std::vector<wire::Known> news_known(const NewsState& state) {
   std::vector<wire::Known> known;
   for (const auto& [key, value] : state.values) {
@@ -151,6 +155,7 @@
   if ((news_proved(state, now) || !data) && is_data(member, envelope.from())) return;
   for (const auto& item : envelope.ping().known())
     if (!(data && state.control_only.contains(item.key())) && newer(state, item.key(), item.version())) {
+      fetch_missing(state, item, now);
       news_send_ask(state, member, envelope.from(), envelope.address(), now, effects);
       return;
     }
--- a/src/core/configuration/news.hpp
+++ b/src/core/configuration/news.hpp
@@ -4,6 +4,8 @@
 
 namespace weldsail {
 
+class JsonText;
+
 /// A control process that is asked for news, as the asker sees it. Times by the asker's clock.
 struct NewsSource {
   Moment asked = 0;
@@ -35,6 +37,10 @@
   DeliveryState delivery;
 };
 
+/// Writes what the delivery of values has counted into a status document.
+void write_delivery(const NewsState& state, JsonText& text);
+/// Version of a value here; 0 where there is none.
+std::uint64_t news_version(const NewsState& state, const std::string& key);
 /// Versions that this node has.
 std::vector<wire::Known> news_known(const NewsState& state);
 /// Takes a committed value when it is newer; true when it was.
--- a/src/core/configuration/serve.cpp
+++ b/src/core/configuration/serve.cpp
@@ -4,6 +4,7 @@
 
 #include "core/delta.hpp"
 #include "core/hash.hpp"
+#include "core/json.hpp"
 
 namespace weldsail {
 namespace {
@@ -12,6 +13,8 @@
 constexpr std::size_t chain_share = 2;
 /// Links that are kept for each key.
 constexpr std::size_t links_most = 256;
+/// Contents that are kept; who fetches an older one begins anew.
+constexpr std::size_t served_most = 16;
 
 /// The links from a version to the newest one; empty when there is no such way.
 wire::ValueChain chain_from(const NewsState& state, const wire::RegisterValue& value, std::uint64_t base_version) {
@@ -24,15 +27,6 @@
   return chain;
 }
 
-ServedContent make_content(const NewsState& state, const wire::RegisterValue& value, std::uint64_t base_version) {
-  ServedContent content{value.key(), value.epoch(), value.version(), 0, {}, sha256(value.value())};
-  const auto chain = base_version == 0 ? wire::ValueChain{} : chain_from(state, value, base_version);
-  const bool shorter = chain.links_size() > 0 && chain.ByteSizeLong() * chain_share < value.value().size();
-  content.base_version = shorter ? base_version : 0;
-  content.bytes = shorter ? chain.SerializeAsString() : value.value();
-  return content;
-}
-
 ServedContent* find_content(NewsState& state, const wire::ValueAsk& ask) {
   const auto found = std::ranges::find_if(state.delivery.served, [&](const ServedContent& item) {
     return item.key == ask.key() && item.version == ask.version() && item.base_version == ask.base_version();
@@ -45,12 +39,17 @@
   if (auto* found = find_content(state, ask)) return found;
   const auto value = state.values.find(ask.key());
   if (value == state.values.end() || value->second.version() < ask.version()) return nullptr;
-  auto content = make_content(state, value->second, ask.base_version());
+  const auto chain =
+      ask.base_version() == 0 ? wire::ValueChain{} : chain_from(state, value->second, ask.base_version());
+  const bool shorter = chain.links_size() > 0 && chain.ByteSizeLong() * chain_share < value->second.value().size();
   auto actual = ask;
-  actual.set_version(content.version);
-  actual.set_base_version(content.base_version);
+  actual.set_version(value->second.version());
+  if (!shorter) actual.set_base_version(0);
   if (auto* found = find_content(state, actual)) return found;
-  return &state.delivery.served.emplace_back(std::move(content));
+  if (state.delivery.served.size() >= served_most) state.delivery.served.pop_front();
+  return &state.delivery.served.emplace_back(
+      ServedContent{ask.key(), value->second.epoch(), actual.version(), actual.base_version(),
+                    shorter ? chain.SerializeAsString() : value->second.value(), sha256(value->second.value())});
 }
 
 }  // namespace
@@ -114,6 +113,16 @@
   if (links.empty()) state.delivery.links.erase(value.key());
 }
 
+void write_delivery(const NewsState& state, JsonText& text) {
+  const auto& counters = state.delivery.counters;
+  text.number("configuration_bytes_sent", counters.bytes_sent)
+      .number("configuration_bytes_received", counters.bytes_received)
+      .number("transfers", counters.fetches)
+      .number("transfers_repeated", counters.fetches_restarted)
+      .number("parts_repeated", counters.parts_repeated)
+      .number("invariant_violations", counters.violations);
+}
+
 void serve_tick(NewsState& state, Moment now) {
   std::erase_if(state.delivery.served, [&](const ServedContent& item) { return now - item.asked > state.bound; });
 }
--- a/src/core/consensus/acceptor.cpp
+++ b/src/core/consensus/acceptor.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/delta.hpp"
+#include "core/hash.hpp"
 
 namespace weldsail {
 namespace {
@@ -60,7 +61,7 @@
   promise->set_takes_deltas(true);
   const bool known = prepare.known_epoch() == copy.accepted_epoch && prepare.known_version() == copy.version;
   promise->set_value_known(known && copy.value.size() > delta_least);
-  if (!promise->value_known()) promise->set_value(copy.value);
+  if (promise->granted() && !promise->value_known()) promise->set_value(copy.value);
   if (!promise->granted()) {
     member_send(member, envelope.from(), std::move(answer), effects);
     return;
@@ -72,7 +73,9 @@
 std::optional<std::string> accepted_value(const DiskCopy& copy, const wire::Accept& accept) {
   if (!accept.has_delta()) return accept.value();
   const std::pair held(copy.accepted_epoch, copy.version);
-  if (held == std::pair(accept.epoch(), accept.version())) return copy.value;
+  // The same proposal once more; a disk that was restored from an older state may hold another one under its name.
+  if (held == std::pair(accept.epoch(), accept.version()) && sha256(copy.value) == accept.delta().result_hash())
+    return copy.value;
   if (held != std::pair(accept.base_epoch(), accept.base_version())) return std::nullopt;
   return apply_delta(copy.value, accept.delta());
 }
--- a/src/core/consensus/proposal.cpp
+++ b/src/core/consensus/proposal.cpp
@@ -5,12 +5,19 @@
 namespace weldsail {
 namespace {
 
-bool has_base(const RegisterState& state, std::uint64_t disk) {
+/// True for a process that takes deltas and has the proposal's base, or will have it with what was sent to it before.
+bool has_base(const RegisterState& state, const wire::Member& entry) {
   const auto& proposal = *state.proposal;
-  if (!proposal.delta || proposal.lacking.contains(disk)) return false;
-  const auto accepted = state.accepted_at.find(disk);
-  if (accepted == state.accepted_at.end()) return false;
-  return accepted->second == proposal.base || accepted->second == AcceptedTag{state.epoch, proposal.version};
+  if (!proposal.delta || proposal.lacking.contains(entry.disk())) return false;
+  const auto accepted = state.accepted_at.find(entry.disk());
+  if (accepted == state.accepted_at.end() || accepted->second.node != entry.node()) return false;
+  return accepted->second.tag == proposal.base || accepted->second.tag == AcceptedTag{state.epoch, proposal.version};
+}
+
+void presume_accepted(RegisterState& state, const wire::Member& entry) {
+  const auto accepted = state.accepted_at.find(entry.disk());
+  if (accepted != state.accepted_at.end() && accepted->second.node == entry.node())
+    accepted->second.tag = {state.epoch, state.proposal->version};
 }
 
 wire::Envelope proposal_envelope(const RegisterState& state, const MemberState& member, std::uint64_t node,
@@ -47,11 +54,20 @@
   for (const auto disk : core_members(core)) {
     const auto* entry = find_disk(member, disk);
     if (entry == nullptr || state.proposal->granted.contains(disk)) continue;
-    auto envelope = proposal_envelope(state, member, entry->node(), has_base(state, disk));
+    auto envelope = proposal_envelope(state, member, entry->node(), has_base(state, *entry));
     effects.push_back(SendMessage{entry->address(), std::move(envelope)});
+    presume_accepted(state, *entry);
   }
 }
 
+void proposal_accepted(RegisterState& state, const wire::Envelope& envelope) {
+  auto& accepted = state.accepted_at[envelope.disk()];
+  const AcceptedTag tag{envelope.accepted().epoch(), envelope.accepted().version()};
+  // An answer to an earlier proposal says nothing of those that were sent since.
+  if (accepted.node == envelope.from() && accepted.tag.first == tag.first && accepted.tag.second > tag.second) return;
+  accepted = {envelope.from(), tag};
+}
+
 void proposal_lacks(RegisterState& state, const MemberState& member, const wire::Envelope& envelope, Effects& effects) {
   if (envelope.accepted().version() != state.proposal->version) return;
   if (!state.proposal->lacking.insert(envelope.disk()).second) return;
--- a/src/core/consensus/proposal.hpp
+++ b/src/core/consensus/proposal.hpp
@@ -9,6 +9,8 @@
 /// the whole value.
 void send_proposal(RegisterState& state, const MemberState& member, const wire::Core& core, Moment now,
                    Effects& effects);
+/// Takes note of what a disk that takes deltas has accepted.
+void proposal_accepted(RegisterState& state, const wire::Envelope& envelope);
 /// Takes the answer of a disk that has something else than the delta's base, and sends it the whole value.
 void proposal_lacks(RegisterState& state, const MemberState& member, const wire::Envelope& envelope, Effects& effects);
 
--- a/src/core/consensus/register.cpp
+++ b/src/core/consensus/register.cpp
@@ -42,7 +42,12 @@
 RegisterSignal take_promise(RegisterState& state, const MemberState& member, const wire::Core& core,
                             const wire::Envelope& envelope, Moment now, Effects& effects) {
   const auto& promise = envelope.promise();
-  if (state.phase != OwnerPhase::preparing || promise.epoch() != state.epoch) return RegisterSignal::none;
+  if (promise.epoch() != state.epoch) return RegisterSignal::none;
+  // Known of those, too, whose promise comes after the majority's.
+  if (promise.granted() && promise.takes_deltas())
+    state.accepted_at.try_emplace(envelope.disk(), envelope.from(),
+                                  AcceptedTag{promise.accepted_epoch(), promise.version()});
+  if (state.phase != OwnerPhase::preparing) return RegisterSignal::none;
   if (!promise.granted()) {
     lose(state, promise.promised(), now, effects);
     return RegisterSignal::lost;
@@ -52,7 +57,6 @@
     state.version = promise.version();
     state.value = promise.value_known() ? state.known.value : promise.value();
   }
-  if (promise.takes_deltas()) state.accepted_at[envelope.disk()] = {promise.accepted_epoch(), promise.version()};
   state.promised.insert(envelope.disk());
   state.former_until = std::max(state.former_until, now - static_cast<Moment>(promise.quiet_ms()));
   if (!core_majority(core, state.promised)) return RegisterSignal::none;
@@ -73,8 +77,7 @@
                              const wire::Envelope& envelope, Moment now, Effects& effects) {
   const auto& accepted = envelope.accepted();
   if (accepted.epoch() != state.epoch) return RegisterSignal::none;
-  if (accepted.granted() && accepted.takes_deltas())
-    state.accepted_at[envelope.disk()] = {accepted.epoch(), accepted.version()};
+  if (accepted.granted() && accepted.takes_deltas()) proposal_accepted(state, envelope);
   if (!state.proposal) return RegisterSignal::none;
   if (accepted.lacks_base()) {
     proposal_lacks(state, member, envelope, effects);
--- a/src/core/consensus/register.hpp
+++ b/src/core/consensus/register.hpp
@@ -14,6 +14,12 @@
 /// What a disk has accepted of a key, by the epoch and version, which name one value.
 using AcceptedTag = std::pair<std::uint64_t, std::uint64_t>;
 
+/// What one life of a disk's process has accepted: the disk may come back with a former release, which knows no deltas.
+struct AcceptedBy {
+  std::uint64_t node = 0;
+  AcceptedTag tag = {0, 0};
+};
+
 /// A change that waits for its majority.
 struct Proposal {
   std::uint64_t version = 0;
@@ -45,8 +51,8 @@
   Moment former_until = 0;
   Moment round_sent = 0;
   std::map<std::uint64_t, Moment> checked;
-  /// What each disk has accepted last, where it takes deltas, as it told this owner.
-  std::map<std::uint64_t, AcceptedTag> accepted_at;
+  /// What each disk that takes deltas has accepted last, by its word or by what was sent to it since.
+  std::map<std::uint64_t, AcceptedBy> accepted_at;
   /// What the own disk had accepted when the key was asked for.
   DiskCopy known;
 };
--- a/src/core/consensus/repaircopy.cpp
+++ b/src/core/consensus/repaircopy.cpp
@@ -29,7 +29,8 @@
     return;
   if (state.copying != tag) state.copied_from.clear();
   state.copying = tag;
-  if (now - state.asked < state.bound / 3) return;
+  const bool being_kept = std::ranges::any_of(state.waiting, [&](const auto& item) { return item.second == tag; });
+  if (being_kept || now - state.asked < state.bound / 3) return;
   state.asked = now;
   for (const auto& disk : core.disks()) {
     const auto* entry = find_disk(member, disk.disk());
--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -97,6 +97,12 @@
     state.repair.committed = std::max(state.repair.committed, core_tag(core));
   }
   if (!news_learn(state.news, state.member, state.formation.core, value, now, effects)) return;
+  const auto copy = state.acceptor.copies.find(value.key());
+  const bool same = copy != state.acceptor.copies.end() && copy->second.accepted_epoch == value.epoch() &&
+                    copy->second.version == value.version();
+  if (same && copy->second.value != value.value())
+    delivery_violated(state.news.delivery, "an epoch and version name one value", value.key(), value.version(),
+                      effects);
   note(effects, "news.learned", {{"key", value.key()}, {"version", std::to_string(value.version())}});
   if (state.options.has_disk)
     effects.push_back(Persist{learned_tokens, {{control_learned + value.key(), value.SerializeAsString()}}});
--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -166,6 +166,10 @@
 
 }  // namespace
 
+bool configuration_newer_known(const DataState& state) {
+  return fetch_behind(state.news) || state.memo.wanted > state.memo.version;
+}
+
 bool configuration_outdated(const DataState& state, Moment now) {
   return memo_late(state.memo, now) || fetch_late(state.news, now);
 }
--- a/src/core/data.hpp
+++ b/src/core/data.hpp
@@ -126,6 +126,9 @@
   std::uint64_t random = 0;
 };
 
+/// True while a newer configuration than the one in force is known to be committed: what the older one doesn't allow
+/// may be allowed by now.
+bool configuration_newer_known(const DataState& state);
 /// True while a newer configuration than the one in force is known to be committed and has been due here for so long,
 /// from the network or the disk, that the older one isn't to be served on.
 bool configuration_outdated(const DataState& state, Moment now);
--- a/src/core/forwarding/paths/move.cpp
+++ b/src/core/forwarding/paths/move.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 
-#include "core/configuration/fetch.hpp"
 #include "core/forwarding/paths/path.hpp"
 #include "core/membership/rendezvous.hpp"
 
@@ -114,7 +113,7 @@
   if (had_unit) set_waits(state, carry, false, now);
   if (!path_place(state, carry)) {
     if (may_have_run) return path_break(state, carry, "no_route", now, effects);
-    if (fetch_behind(state.news)) return give_up("newer_configuration");
+    if (configuration_newer_known(state)) return give_up("newer_configuration");
     return path_refuse(state, carry, 404, "no_route", now, effects);
   }
   if (configuration_outdated(state, now)) return give_up("newer_configuration");
--- a/src/core/forwarding/paths/take.cpp
+++ b/src/core/forwarding/paths/take.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 
-#include "core/configuration/fetch.hpp"
 #include "core/forwarding/paths/path.hpp"
 #include "core/membership/rendezvous.hpp"
 
@@ -106,12 +105,12 @@
   if (!call) return answer_plain(event.request, 400, 0, effects);
   carry.call = std::move(*call);
   carry.path = event.path;
-  if (!path_place(state, carry)) {
-    // A configuration that is known to be newer than the one here may have the route.
-    if (!fetch_behind(state.news)) return answer_plain(event.request, 404, 0, effects);
+  const bool placed = path_place(state, carry);
+  if (!placed || event.body.size() > path.config->limits.body_bytes) {
+    // A configuration that is known to be newer than the one here may have the route, or take the body.
+    if (!configuration_newer_known(state)) return answer_plain(event.request, placed ? 413 : 404, 0, effects);
     return answer_plain(event.request, 503, state.options.member.bound / early_parts, effects);
   }
-  if (event.body.size() > path.config->limits.body_bytes) return answer_plain(event.request, 413, 0, effects);
   carry.request = event.request;
   carry.method = event.method;
   carry.target = event.target;
--- a/src/core/forwarding/take.cpp
+++ b/src/core/forwarding/take.cpp
@@ -97,10 +97,14 @@
   if (state.member.leaving || own_node_drained(state)) return refuse(503, "leaving", 1);
   if (!state.document) return refuse(503, "no_configuration", 2);
   if (configuration_outdated(state, now)) return refuse(503, "newer_configuration", 1);
+  const auto refuse_unknown = [&](const char* code) {
+    if (configuration_newer_known(state)) return refuse(503, "newer_configuration", 1);
+    refuse(404, code);
+  };
   const auto tenant = state.document->tenants.find(place->tenant);
-  if (tenant == state.document->tenants.end()) return refuse(404, "no_such_tenant");
+  if (tenant == state.document->tenants.end()) return refuse_unknown("no_such_tenant");
   const auto route = tenant->second.routes.find(place->route);
-  if (route == tenant->second.routes.end()) return refuse(404, "no_such_route");
+  if (route == tenant->second.routes.end()) return refuse_unknown("no_such_route");
   Carry carry;
   carry.request = event.request;
   carry.run = std::to_string(state.member.self.node()) + "-" + std::to_string(event.request);
--- a/src/core/placement/view.cpp
+++ b/src/core/placement/view.cpp
@@ -169,6 +169,7 @@
   }
   if (follows) advance(known, as_of);
   apply(known, view);
+  known.asked = 0;
   known.known = true;
   known.behind = false;
   known.term = view.term();
@@ -182,7 +183,11 @@
   if ((known.known && !known.behind) || now < known.next_ask) return;
   const auto* holder = duty_holder(member, placement_key);
   if (holder == nullptr) return;
-  known.next_ask = now + known.bound / asks_per_bound;
+  // An answer may be under way still, and it is large: the same holder is asked again after ever longer pauses.
+  const auto first_pause = known.bound / asks_per_bound;
+  known.ask_pause = known.asked == holder->node() ? std::min(2 * known.ask_pause, known.bound) : first_pause;
+  known.asked = holder->node();
+  known.next_ask = now + known.ask_pause;
   auto envelope = member_envelope(member, holder->node());
   envelope.mutable_fleet_ask()->set_term(known.behind && known.known ? known.term : 0);
   envelope.mutable_fleet_ask()->set_version(known.known ? known.version : 0);
--- a/src/core/placement/view.hpp
+++ b/src/core/placement/view.hpp
@@ -33,6 +33,9 @@
   /// A newer version was heard of that isn't here.
   bool behind = false;
   Moment next_ask = 0;
+  /// The holder whose answer is awaited, and the pause after the last ask.
+  std::uint64_t asked = 0;
+  Moment ask_pause = 0;
 };
 
 /// Begins a term's view; nothing is told before the first list.
