Soak: real processes behind a relay under random trouble, checked by seed

wssoak (test/soak) runs wscp and wsdp as real processes on loopback. A preloaded library gives each hosts of its own, so that a relay stands between all peers at the addresses they announce. By seed: kill -9 and restart, SIGSTOP, links cut, cut one way, stalled, slow, operators' answers lost; up to three at once, while two operators race with small changes, one large one and repeats. RealFleet tells of a process before its first start, and its processes end with the test that started them. No change in src/.

Not checked yet: bytes by counter (no process tells one).

--- /dev/null
+++ b/test/soak/fleetview.hpp
@@ -0,0 +1,35 @@
+#pragma once
+#include <random>
+
+#include "hosts.hpp"
+#include "tools/realfleet.hpp"
+
+namespace weldsail::soak {
+
+using Random = std::mt19937_64;
+
+inline std::size_t pick(Random& random, std::size_t below) {
+  return below == 0 ? 0 : static_cast<std::size_t>(random() % below);
+}
+
+/// The processes of a fleet by number: control processes first, then data processes.
+class FleetView {
+ public:
+  explicit FleetView(RealFleet& fleet) : fleet_(fleet) {}
+  std::size_t size() const { return fleet_.controls.size() + fleet_.datas.size(); }
+  std::size_t controls() const { return fleet_.controls.size(); }
+  bool is_control(std::size_t process) const { return process < controls(); }
+  Child& child(std::size_t process) const {
+    return is_control(process) ? fleet_.controls[process] : fleet_.datas[process - controls()];
+  }
+  /// Where the process answers operators without the relay in between.
+  std::string direct(std::size_t process) const {
+    return direct_address(child(process).callers, static_cast<int>(process));
+  }
+  RealFleet& fleet() const { return fleet_; }
+
+ private:
+  RealFleet& fleet_;
+};
+
+}  // namespace weldsail::soak
--- /dev/null
+++ b/test/soak/soakjudge.cpp
@@ -0,0 +1,109 @@
+#include "soakrun.hpp"
+
+#include <filesystem>
+
+#include "core/json.hpp"
+#include "document.hpp"
+
+/// What a run is judged by once its trouble is over.
+namespace weldsail::soak {
+namespace {
+
+constexpr std::size_t calm_changes = 5;
+
+}  // namespace
+
+void Run::fresh_statuses() {
+  const auto least = watch_->statuses_each() + 2;
+  until([&] { return watch_->statuses_each() >= least; }, plan_.patience);
+}
+
+/// Small changes one by one on a calm fleet: what each costs.
+void Run::calm() {
+  const auto document = ask(0, "/v1/config");
+  auto version = version_of(document);
+  fresh_statuses();
+  const auto counted = watch_->sum(&ProcessCounters::configuration_bytes_sent);
+  const auto bytes = relay_.peer_bytes();
+  const auto begun = monotonic_now();
+  for (std::size_t place = 0; place < calm_changes; ++place) {
+    SoakChange change{"calm" + std::to_string(place), version, {}, place, place + 1, 50000 + place};
+    change.body = change_body(change.from, change.until, change.due_ms);
+    const auto reply = fleet_.ask_until_good(
+        "POST", fleet_.controls[place % plan_.control].callers, "/v1/config/change",
+        {{"weldsail-base", std::to_string(version)}, {"weldsail-change", change.id}}, change.body, plan_.patience);
+    if (reply.status != 200) return ledger_.breach("a change on a calm fleet is answered with " + reply.body);
+    version = version_of(reply);
+    ledger_.accepted(change, version, monotonic_now());
+    if (!until([&] { return watch_->in_force_everywhere(version); }, plan_.patience))
+      return ledger_.breach("on a calm fleet version " + std::to_string(version) +
+                            " isn't in force: " + watch_->versions());
+  }
+  figure("calm_ms", static_cast<std::uint64_t>(monotonic_now() - begun));
+  const auto whole = calm_changes * view_.size() * document.body.size();
+  figure("document_bytes", document.body.size());
+  figure("calm_peer_bytes", relay_.peer_bytes() - bytes);
+  figure("calm_whole_documents_bytes", whole);
+  fresh_statuses();
+  const auto after = watch_->sum(&ProcessCounters::configuration_bytes_sent);
+  if (!counted || !after) return figure("calm_configuration_bytes", std::optional<std::uint64_t>());
+  figure("calm_configuration_bytes", *after - *counted);
+  if (*after - *counted > whole / 10)
+    ledger_.breach("small changes cost " + std::to_string(*after - *counted) + " bytes of configuration, " +
+                   std::to_string(whole) + " are whole documents to everyone");
+}
+
+void Run::judge_document(const std::string& document) {
+  rapidjson::Document read;
+  read.Parse(document.data(), document.size());
+  std::map<std::size_t, std::pair<std::uint64_t, std::size_t>> wanted;
+  for (const auto& [version, entry] : ledger_.changes())
+    for (auto number = entry.change.from; number < entry.change.until; ++number)
+      wanted[number] = {version, entry.change.due_ms};
+  for (const auto& [number, last] : wanted)
+    if (json_count_at(read, (route_pointer(number) + "/due_ms").c_str()) != last.second)
+      ledger_.breach("lost: route " + std::to_string(number) + " isn't as version " + std::to_string(last.first) +
+                     " made it");
+}
+
+void Run::judge_end() {
+  std::string document;
+  for (std::size_t process = 0; process < view_.size(); ++process) {
+    const auto reply = ask(process, "/v1/config");
+    if (reply.status != 200) ledger_.breach("no configuration can be read at " + view_.child(process).name);
+    ledger_.read(view_.child(process).name, version_of(reply), reply.body, monotonic_now());
+    document = reply.body;
+  }
+  document_most_ = document.size();
+  judge_document(document);
+  rapidjson::Document read;
+  const auto history = ask(0, "/v1/config/history");
+  read.Parse(history.body.data(), history.body.size());
+  std::vector<std::pair<std::uint64_t, std::string>> listed;
+  if (const auto* list = rapidjson::Pointer("/history").Get(read); list != nullptr && list->IsArray())
+    for (const auto& item : list->GetArray())
+      listed.emplace_back(json_count_at(item, "/version"), json_string_at(item, "/change"));
+  ledger_.history(listed);
+}
+
+void Run::judge_memory() {
+  const auto most = plan_.memory_base + plan_.memory_documents * document_most_;
+  for (std::size_t process = 0; process < view_.size(); ++process)
+    if (watch_->views()[process].memory_most > most)
+      ledger_.breach(view_.child(process).name + " took " + std::to_string(watch_->views()[process].memory_most) +
+                     " bytes of memory, " + std::to_string(most) + " allowed");
+  figure("wscp_memory", watch_->memory_most(true));
+  figure("wsdp_memory", watch_->memory_most(false));
+}
+
+void Run::keep_logs() const {
+  if (plan_.logs.empty()) return;
+  const auto target = std::filesystem::path(plan_.logs) / ("seed" + std::to_string(plan_.seed));
+  std::filesystem::create_directories(target);
+  for (const auto& entry : std::filesystem::directory_iterator(fleet_.folder()))
+    if (entry.path().extension() == ".log")
+      std::filesystem::copy_file(entry.path(), target / entry.path().filename(),
+                                 std::filesystem::copy_options::overwrite_existing);
+}
+
+}  // namespace weldsail::soak
--- /dev/null
+++ b/test/soak/soakrun.hpp
@@ -0,0 +1,52 @@
+#pragma once
+#include "operators.hpp"
+#include "soak.hpp"
+#include "troubles.hpp"
+#include "watch.hpp"
+
+namespace weldsail::soak {
+
+/// One run: a fleet behind a relay, its operators, its trouble and the watch.
+class Run {
+ public:
+  explicit Run(const SoakPlan& plan);
+  SoakResult run();
+
+ private:
+  RealPlan real_plan();
+  void prepare(Child& child);
+  bool begin();
+  void trouble();
+  bool settle();
+  void calm();
+  void judge_end();
+  void judge_memory();
+  void keep_logs() const;
+  void judge_document(const std::string& document);
+  /// Waits until every process has told its status anew, twice.
+  void fresh_statuses();
+  bool until(const std::function<bool()>& done, Moment within);
+  Reply ask(std::size_t process, const std::string& path);
+  void figure(const std::string& name, std::uint64_t value) { figures_ += " " + name + "=" + std::to_string(value); }
+  void figure(const std::string& name, std::optional<std::uint64_t> value) {
+    figures_ += " " + name + "=" + (value ? std::to_string(*value) : "not_checked");
+  }
+
+  SoakPlan plan_;
+  Relay relay_;
+  RealFleet fleet_;
+  FleetView view_{fleet_};
+  Asker asker_{fleet_.loop()};
+  Ledger ledger_;
+  OperatorShare share_;
+  std::vector<Operator> operators_;
+  std::optional<Troubles> troubles_;
+  std::optional<Watch> watch_;
+  std::string document_;
+  std::size_t document_most_ = 0;
+  std::string figures_;
+  int prepared_ = 0;
+  bool relayed_ = true;
+};
+
+}  // namespace weldsail::soak
--- a/test/tools/realfleet.cpp
+++ b/test/tools/realfleet.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -96,11 +97,13 @@
           std::string("--platform"), plan_.platform.empty() ? back_->platform_address() : plan_.platform,
           std::string("--platform-pace-ms"), std::string("1500")})
       child.arguments.push_back(argument);
+    if (plan_.prepared) plan_.prepared(child);
     start_child(child);
   }
   for (std::size_t place = 0; place < datas.size(); ++place) {
     common(datas[place], "wsdp", place);
     for (const auto& option : plan_.data_options) datas[place].arguments.push_back(option);
+    if (plan_.prepared) plan_.prepared(datas[place]);
     start_child(datas[place]);
   }
   return true;
@@ -112,6 +115,8 @@
   arguments.push_back(nullptr);
   const int pid = fork();
   if (pid == 0) {
+    // A test that is killed leaves no process behind.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     execv(arguments[0], arguments.data());
     _exit(127);
   }
--- a/test/tools/realfleet.hpp
+++ b/test/tools/realfleet.hpp
@@ -28,6 +28,8 @@
   /// Another platform than the stand-in's, and what it wants done while the fleet is served.
   std::string platform;
   std::function<void()> served;
+  /// Called with each process before its first start.
+  std::function<void(Child&)> prepared;
 };
 
 /// A fleet of real processes on loopback, with its back ends in this process.
