A fetch ends with what was offered, and every source has its turn

Cause: the end of a chain was compared with nothing but its version; parts of two unlike chains between the same versions were put together, or waited for an offset that the shorter one hasn't; a retry took the best of the others, so two silent sources alternated, and eight that were gone kept out every new one; more than 64 missing versions left the newest out.

Change: hash and epoch of a chain's end are compared with the part's. A part of another size under the same name begins the fetch anew, as the value itself. Sources that leave asks unanswered come last, and a new offer takes the place of the worst one. Beyond 64 missing versions the newest takes the last place and keeps its moment.

Not run: the whole unit run, sanitizers.

--- a/src/core/configuration/deliverystate.hpp
+++ b/src/core/configuration/deliverystate.hpp
@@ -18,6 +18,8 @@
 struct ValueSource {
   std::string address;
   std::uint64_t version = 0;
+  /// Asks since its last offer or part that it hasn't answered in time.
+  std::uint64_t unanswered = 0;
 };
 
 /// A large value that is being fetched, part by part, with one ask under way at a time.
--- a/src/core/configuration/fetch.cpp
+++ b/src/core/configuration/fetch.cpp
@@ -36,20 +36,41 @@
   effects.push_back(SendMessage{fetch.address, std::move(envelope)});
 }
 
-/// The source with the newest version; another than `avoided` where there is one.
+/// Sources are preferred that answer, then those that live, then the newest version: each has its turn in the end.
+std::tuple<std::uint64_t, bool, std::uint64_t> source_rank(const MemberState& member, std::uint64_t node,
+                                                           const ValueSource& source) {
+  return {~source.unanswered, member_live(member, node), source.version};
+}
+
+/// The best source; another than `avoided` where there is one.
 std::optional<std::uint64_t> pick_source(const NewsState& state, const MemberState& member, const std::string& key,
                                          std::uint64_t avoided) {
   const auto offers = state.delivery.sources.find(key);
-  if (offers == state.delivery.sources.end()) return std::nullopt;
-  std::optional<std::uint64_t> best;
-  std::tuple<bool, bool, std::uint64_t> best_rank;
-  for (const auto& [node, source] : offers->second) {
-    const std::tuple rank{node != avoided, member_live(member, node), source.version};
-    if (best && rank <= best_rank) continue;
-    best = node;
-    best_rank = rank;
+  if (offers == state.delivery.sources.end() || offers->second.empty()) return std::nullopt;
+  const auto rank = [&](const auto& item) {
+    return std::pair(item.first != avoided, source_rank(member, item.first, item.second));
+  };
+  return std::ranges::max_element(offers->second, {}, rank)->first;
+}
+
+/// Keeps an offer, in place of the worst one where there are many.
+void keep_source(std::map<std::uint64_t, ValueSource>& sources, const MemberState& member, std::uint64_t node,
+                 ValueSource source) {
+  const auto rank = [&](const auto& item) { return source_rank(member, item.first, item.second); };
+  if (sources.size() >= sources_most && !sources.contains(node))
+    sources.erase(std::ranges::min_element(sources, {}, rank));
+  sources[node] = std::move(source);
+}
+
+/// Takes note of a missing version. Where there are many, the newest stands for the one before it, too.
+void keep_missing(std::map<std::uint64_t, Moment>& missing, std::uint64_t version, Moment now) {
+  if (missing.size() < missing_most) {
+    missing.try_emplace(version, now);
+  } else if (auto last = std::prev(missing.end()); last->first < version) {
+    auto item = missing.extract(last);
+    item.key() = version;
+    missing.insert(std::move(item));
   }
-  return best;
 }
 
 void begin(NewsState& state, const MemberState& member, const std::string& key, std::uint64_t base_version,
@@ -105,16 +126,21 @@
   const auto own = state.values.find(key);
   if (own == state.values.end() || !chain.ParseFromString(fetch.received)) return std::nullopt;
   auto followed = follow_chain(own->second, chain);
-  if (!followed || followed->version() != fetch.version) return std::nullopt;
+  if (!followed || followed->version() != fetch.version || followed->epoch() != fetch.epoch) return std::nullopt;
+  if (sha256(followed->value()) != fetch.value_hash) return std::nullopt;
   auto& links = state.delivery.links[key];
   for (auto& link : *chain.mutable_links())
     if (link.version() > own->second.version()) links.push_back(std::move(link));
   return followed;
 }
 
+bool same_name(const Fetch& fetch, const wire::ValuePart& part) {
+  return part.version() == fetch.version && part.base_version() == fetch.base_version;
+}
+
 /// True when a part is the one that was asked for last, or the begin of other content that is as new at least.
 bool fits(NewsState& state, Fetch& fetch, const wire::ValuePart& part) {
-  const bool same = part.version() == fetch.version && part.base_version() == fetch.base_version;
+  const bool same = same_name(fetch, part);
   if (same && part.offset() == fetch.received.size()) return true;
   if (same || part.offset() != 0 || part.version() < fetch.version) return false;
   if (!fetch.received.empty()) ++state.delivery.counters.fetches_restarted;
@@ -129,11 +155,8 @@
   const auto own = own_version(state, offer.key());
   if (offer.version() <= own) return;
   auto& delivery = state.delivery;
-  if (offer.key() == config_key && delivery.missing.size() < missing_most)
-    delivery.missing.try_emplace(offer.version(), now);
-  auto& sources = delivery.sources[offer.key()];
-  if (sources.size() >= sources_most && !sources.contains(envelope.from())) return;
-  sources[envelope.from()] = {envelope.address(), offer.version()};
+  if (offer.key() == config_key) keep_missing(delivery.missing, offer.version(), now);
+  keep_source(delivery.sources[offer.key()], member, envelope.from(), {envelope.address(), offer.version()});
   if (!delivery.fetches.contains(offer.key())) begin(state, member, offer.key(), own, 0, now, effects);
 }
 
@@ -143,7 +166,13 @@
   auto& delivery = state.delivery;
   delivery.counters.bytes_received += part.bytes().size();
   const auto found = delivery.fetches.find(part.key());
-  if (found == delivery.fetches.end() || !fits(state, found->second, part)) return std::nullopt;
+  if (found == delivery.fetches.end()) return std::nullopt;
+  // Processes that took other versions between have another chain between the same two.
+  if (same_name(found->second, part) && !found->second.received.empty() && part.size() != found->second.size) {
+    begin_anew(state, member, part.key(), 0, now, effects);
+    return std::nullopt;
+  }
+  if (!fits(state, found->second, part)) return std::nullopt;
   auto& fetch = found->second;
   const bool empty = part.bytes().empty() && part.size() > 0;
   if (empty || fetch.received.size() + part.bytes().size() > part.size()) return std::nullopt;
@@ -154,6 +183,8 @@
   fetch.value_hash = part.value_hash();
   fetch.received += part.bytes();
   fetch.patience = first_patience(state);
+  auto& sources = delivery.sources[part.key()];
+  if (const auto source = sources.find(envelope.from()); source != sources.end()) source->second.unanswered = 0;
   if (fetch.received.size() < fetch.size) {
     // Whoever answers is asked for the rest: it may be a former source whose answer was late.
     fetch.source = envelope.from();
@@ -191,6 +222,8 @@
     if (now - fetch.asked >= fetch.patience) late.push_back(key);
   for (const auto& key : late) {
     auto& fetch = state.delivery.fetches[key];
+    auto& sources = state.delivery.sources[key];
+    if (const auto silent = sources.find(fetch.source); silent != sources.end()) ++silent->second.unanswered;
     const auto source = pick_source(state, member, key, fetch.source);
     if (!source) {
       state.delivery.fetches.erase(key);
@@ -198,7 +231,7 @@
     }
     ++state.delivery.counters.parts_repeated;
     fetch.source = *source;
-    fetch.address = state.delivery.sources[key][*source].address;
+    fetch.address = sources[*source].address;
     fetch.patience = std::min(2 * fetch.patience, first_patience(state) << patience_doublings);
     ask_part(member, key, fetch, now, effects);
   }
