--- a/src/core/configuration/fetch.cpp
+++ b/src/core/configuration/fetch.cpp
@@ -51,7 +51,6 @@
     best = node;
     best_rank = rank;
   }
-  return best;
 }
 
 void begin(NewsState& state, const MemberState& member, const std::string& key, std::uint64_t base_version,
@@ -107,7 +106,8 @@
   const auto own = state.values.find(key);
   if (own == state.values.end() || !chain.ParseFromString(fetch.received)) return std::nullopt;
   auto followed = follow_chain(own->second, chain);
-  if (!followed || followed->version() != fetch.version) return std::nullopt;
+  if (!followed || followed->version() != fetch.version || followed->epoch() != fetch.epoch) return std::nullopt;
+  if (sha256(followed->value()) != fetch.value_hash) return std::nullopt;
   auto& links = state.delivery.links[key];
   for (auto& link : *chain.mutable_links())
     if (link.version() > own->second.version()) links.push_back(std::move(link));
@@ -205,6 +205,8 @@
     if (now - fetch.asked >= fetch.patience) late.push_back(key);
   for (const auto& key : late) {
     auto& fetch = state.delivery.fetches[key];
+    auto& sources = state.delivery.sources[key];
+    if (const auto silent = sources.find(fetch.source); silent != sources.end()) ++silent->second.unanswered;
     const auto source = pick_source(state, member, key, fetch.source);
     if (!source) {
       state.delivery.fetches.erase(key);
