--- a/src/core/configuration/fetch.cpp
+++ b/src/core/configuration/fetch.cpp
@@ -36,21 +36,31 @@
   return found != member.others.end() && found->second.entry.program() == static_cast<std::uint32_t>(Program::control);
 }
 
-/// The best source: a live one, another than `avoided`, a control process, which keeps links between versions, with the
-/// newest version; among equals each asker has its own order.
+/// Sources are preferred that answer, then those that live, then control processes, which keep links between versions,
+/// then the newest version; among equals each asker has its own order. So each has its turn in the end.
+auto source_rank(const MemberState& member, std::uint64_t node, const ValueSource& source) {
+  return std::tuple(~source.unanswered, member_live(member, node), is_control(member, node), source.version,
+                    mix(member.self.node() ^ node));
+}
+
+/// The best source; another than `avoided` where there is one.
 std::optional<std::uint64_t> pick_source(const NewsState& state, const MemberState& member, const std::string& key,
                                          std::uint64_t avoided) {
   const auto offers = state.delivery.sources.find(key);
-  if (offers == state.delivery.sources.end()) return std::nullopt;
-  std::optional<std::uint64_t> best;
-  std::tuple<bool, bool, bool, std::uint64_t, std::uint64_t> best_rank;
-  for (const auto& [node, source] : offers->second) {
-    const std::tuple rank{member_live(member, node), node != avoided, is_control(member, node), source.version,
-                          mix(member.self.node() ^ node)};
-    if (best && rank <= best_rank) continue;
-    best = node;
-    best_rank = rank;
-  }
+  if (offers == state.delivery.sources.end() || offers->second.empty()) return std::nullopt;
+  const auto rank = [&](const auto& item) {
+    return std::pair(item.first != avoided, source_rank(member, item.first, item.second));
+  };
+  return std::ranges::max_element(offers->second, {}, rank)->first;
+}
+
+/// Keeps an offer, in place of the worst one where there are many.
+void keep_source(std::map<std::uint64_t, ValueSource>& sources, const MemberState& member, std::uint64_t node,
+                 ValueSource source) {
+  const auto rank = [&](const auto& item) { return source_rank(member, item.first, item.second); };
+  if (sources.size() >= sources_most && !sources.contains(node))
+    sources.erase(std::ranges::min_element(sources, {}, rank));
+  sources[node] = std::move(source);
 }
 
 void begin(NewsState& state, const MemberState& member, const std::string& key, std::uint64_t base_version,
@@ -114,18 +124,13 @@
   return followed;
 }
 
-/// Lets go of a source that isn't live, else of the one with the oldest version.
-void make_room(std::map<std::uint64_t, ValueSource>& sources, const MemberState& member) {
-  const auto worst = std::ranges::min_element(
-      sources, {}, [&](const auto& item) { return std::pair(member_live(member, item.first), item.second.version); });
-  sources.erase(worst);
+bool same_name(const Fetch& fetch, const wire::ValuePart& part) {
+  return part.version() == fetch.version && part.base_version() == fetch.base_version;
 }
 
 /// True when a part is the one that was asked for last, or the begin of other content that the source has in its place.
 bool fits(NewsState& state, Fetch& fetch, std::uint64_t sender, const wire::ValuePart& part) {
-  const bool begun = !fetch.received.empty();
-  const bool same = part.version() == fetch.version && part.base_version() == fetch.base_version &&
-                    (!begun || part.size() == fetch.size);
+  const bool same = same_name(fetch, part);
   if (same && part.offset() == fetch.received.size()) return true;
   if (same || part.offset() != 0 || part.version() < fetch.version || sender != fetch.source) return false;
   if (!fetch.received.empty()) ++state.delivery.counters.fetches_restarted;
@@ -141,9 +146,7 @@
   if (offer.version() <= own) return;
   auto& delivery = state.delivery;
   fetch_missing(state, offer, now);
-  auto& sources = delivery.sources[offer.key()];
-  if (sources.size() >= sources_most && !sources.contains(envelope.from())) make_room(sources, member);
-  sources[envelope.from()] = {envelope.address(), offer.version()};
+  keep_source(delivery.sources[offer.key()], member, envelope.from(), {envelope.address(), offer.version()});
   const auto fetch = delivery.fetches.find(offer.key());
   if (fetch == delivery.fetches.end()) return begin(state, member, offer.key(), own, 0, now, effects);
   if (!member_live(member, fetch->second.source)) fetch->second.patience = 0;
@@ -155,7 +158,13 @@
   auto& delivery = state.delivery;
   delivery.counters.bytes_received += part.bytes().size();
   const auto found = delivery.fetches.find(part.key());
-  if (found == delivery.fetches.end() || !fits(state, found->second, envelope.from(), part)) return std::nullopt;
+  if (found == delivery.fetches.end()) return std::nullopt;
+  // Processes that took other versions between have another chain between the same two.
+  if (same_name(found->second, part) && !found->second.received.empty() && part.size() != found->second.size) {
+    begin_anew(state, member, part.key(), 0, now, effects);
+    return std::nullopt;
+  }
+  if (!fits(state, found->second, envelope.from(), part)) return std::nullopt;
   auto& fetch = found->second;
   const bool empty = part.bytes().empty() && part.size() > 0;
   if (empty || part.size() > value_most || fetch.received.size() + part.bytes().size() > part.size())
@@ -166,6 +175,8 @@
   fetch.size = part.size();
   fetch.value_hash = part.value_hash();
   fetch.received += part.bytes();
+  auto& sources = delivery.sources[part.key()];
+  if (const auto source = sources.find(envelope.from()); source != sources.end()) source->second.unanswered = 0;
   fetch.patience = std::clamp(2 * (now - fetch.asked), first_patience(state), most_patience(state));
   if (fetch.received.size() < fetch.size) {
     // Whoever answers is asked for the rest: it may be a former source whose answer was late.
@@ -216,7 +227,7 @@
     // A chain from elsewhere may have other links; a whole value is the same wherever it comes from.
     if (*source != fetch.source && fetch.base_version != 0) fetch.received.clear();
     fetch.source = *source;
-    fetch.address = state.delivery.sources[key][*source].address;
+    fetch.address = sources[*source].address;
     fetch.patience = std::min(2 * fetch.patience, most_patience(state));
     ask_part(member, key, fetch, now, effects);
   }
