--- a/test/sim/modelplans.cpp
+++ b/test/sim/modelplans.cpp
@@ -74,6 +74,14 @@
     world.perform({ActionKind::pause, 0, 0, 0});
     perform_and_settle(world, ActionKind::tick, node);
   }
+  // In some orders of arrival the first process has lost the configuration meanwhile.
+  for (std::size_t turn = 0; turn < 2; ++turn)
+    for (const std::size_t node : {3, 0}) perform_and_settle(world, ActionKind::tick, node);
+  for (const auto& action : world.enabled())
+    if (action.kind == ActionKind::take_config && action.node == 0) {
+      perform_and_settle(world, ActionKind::take_config, 0);
+      break;
+    }
   perform_and_settle(world, ActionKind::change, 0);
   world.perform({ActionKind::crash_losing_unsynced, 1, 0, 0});
   world.perform({ActionKind::heal, 0, 0, 0});
--- a/test/unit/fetch.cpp
+++ b/test/unit/fetch.cpp
@@ -66,7 +66,6 @@
     bench.processes.at(source).alive = true;
     bench.give(source);
   }
-  // The longest delays are 0.6 s each way, and a value of 13 parts takes one round after the other.
   for (int turn = 0; turn < 40; ++turn) {
     ask_all(bench, 1);
     bench.run_until(bench.now + 500);
@@ -176,7 +175,7 @@
     const auto& fetches = bench.processes.at("d1").news.delivery.fetches;
     while (!fetches.contains(config_key) || fetches.at(config_key).received.empty()) bench.run_until(bench.now + 10);
     bench.processes.at("s1").alive = false;
-    // The longest delays are 0.6 s each way, and a value of 13 parts takes one round after the other.
+    // A value of 13 parts takes as many rounds, of up to 0.6 s each way.
     for (int turn = 0; turn < 40; ++turn) {
       bench.ask_news("d1", "s2");
       bench.run_until(bench.now + 500);
@@ -200,7 +199,6 @@
            life < 8)
       bench.run_until(bench.now + 10);
   }
-  // The longest delays are 0.6 s each way, and a value of 13 parts takes one round after the other.
   for (int turn = 0; turn < 40; ++turn) {
     bench.ask_news("d1", "s1");
     bench.run_until(bench.now + 500);
@@ -244,7 +242,6 @@
   bench.run_until(bench.now + 3000);
   for (const auto& receiver : receivers) {
     const bool former = bench.processes.at(receiver).former;
-    CAPTURE(receiver);
     CHECK(bench.version(receiver) == 1);
     CHECK(bench.inside_news[receiver] == (former ? bench.committed[0].size() : 0));
     CHECK(bench.processes.at(receiver).news.delivery.counters.fetches == (former ? 0 : 1));
