Runbook roll-process waits for this release, and for a process that is alive

It passed on crowded machines only by luck: the condition asked of each member alive at the address that its release fit, which holds as well while none is alive (a short suspicion was enough). So the step could also pass for a process that hadn't come back.

Change: an input's default {wsctl_release} is the message release of the wsctl that runs the book; the condition 'some' wants one element that fits whole. Both are as strict or stricter than what they replace.

Conclusion: a fault of the runbook, not of the machine.

--- a/src/wsctl/condition.cpp
+++ b/src/wsctl/condition.cpp
@@ -7,7 +7,7 @@
 namespace weldsail {
 namespace {
 
-constexpr const char* words[] = {"pointer", "where", "each", "equals", "contains", "lacks", "least"};
+constexpr const char* words[] = {"pointer", "where", "each", "some", "equals", "contains", "lacks", "least"};
 
 bool has_member(const rapidjson::Value& item, const rapidjson::Value& wanted) {
   if (item == wanted) return true;
@@ -36,6 +36,11 @@
          });
 }
 
+bool some(const rapidjson::Value& list, const rapidjson::Value& wanted) {
+  return list.IsArray() &&
+         std::any_of(list.Begin(), list.End(), [&](const rapidjson::Value& item) { return matches(item, wanted); });
+}
+
 }  // namespace
 
 std::vector<std::string> condition_faults(const rapidjson::Value& condition) {
@@ -47,7 +52,7 @@
   }
   if (json_string_at(condition, "/pointer", "-") == "-") faults.emplace_back("condition: pointer is missing");
   if (condition.MemberCount() < 2) faults.emplace_back("condition: says nothing");
-  for (const char* name : {"where", "each"})
+  for (const char* name : {"where", "each", "some"})
     if (condition.HasMember(name) && !condition[name].IsObject())
       faults.push_back(std::string("condition: ") + name + " must be an object");
   return faults;
@@ -64,6 +69,7 @@
   if (condition.HasMember("contains") && !holds(*found, condition["contains"])) return false;
   if (condition.HasMember("lacks") && holds(*found, condition["lacks"])) return false;
   if (condition.HasMember("each") && !every(*found, condition)) return false;
+  if (condition.HasMember("some") && !some(*found, condition["some"])) return false;
   if (condition.HasMember("least") && (!found->IsNumber() || found->GetDouble() < condition["least"].GetDouble()))
     return false;
   return true;
--- a/src/wsctl/runbookcheck.cpp
+++ b/src/wsctl/runbookcheck.cpp
@@ -2,6 +2,7 @@
 #include <set>
 
 #include "core/json.hpp"
+#include "core/membership/member.hpp"
 #include "wsctl/condition.hpp"
 #include "wsctl/runbook.hpp"
 
@@ -11,6 +12,13 @@
 constexpr const char* step_words[] = {"name",    "command", "node", "check", "wait", "within_s",
                                       "confirm", "manual",  "save", "into",  "back"};
 constexpr double within_most_s = 3600;
+/// A default that stands for the message release of this wsctl, which comes with the programs of that release.
+constexpr const char* own_release = "{wsctl_release}";
+
+std::string default_of(const rapidjson::Value& input) {
+  const auto text = json_string_at(input, "/default");
+  return text == own_release ? std::to_string(wire_release) : text;
+}
 
 std::set<std::string> marks_of(const std::string& text) {
   std::set<std::string> marks;
@@ -79,7 +87,7 @@
       const auto name = json_string(item.name);
       known.insert(name);
       if (!inputs.contains(name) && item.value.IsObject() && item.value.HasMember("default"))
-        inputs[name] = json_string_at(item.value, "/default");
+        inputs[name] = default_of(item.value);
       if (!inputs.contains(name)) faults.push_back("input " + name + " is missing: --set " + name + "=...");
     }
   for (const auto& [name, value] : inputs)
--- a/test/unit/runbooks.cpp
+++ b/test/unit/runbooks.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 
 #include "core/json.hpp"
+#include "core/membership/member.hpp"
 #include "tools/realfleet.hpp"
 
 using namespace weldsail;
@@ -176,6 +177,9 @@
   CHECK(seat.status == 200);
   CHECK(fleet.back().workers()[4]->model().runs().empty());
   CHECK(fleet.back().workers()[5]->model().runs().size() == 1);
+  const auto waits = wsctl(fleet, {"runbook", "run", "roll-process", "--node", node, "--dry-run", "--set",
+                                   "peer=" + fleet.datas[1].peers, "--set", "callers=" + fleet.datas[1].callers});
+  CHECK(waits.text.find("\"release\":" + std::to_string(wire_release) + "}") != std::string::npos);
   run("roll-process", {"peer=" + fleet.datas[1].peers, "callers=" + fleet.datas[1].callers});
   auto& fresh = add_control(fleet, "fresh");
   fleet.signal(fleet.controls[0], SIGKILL);
