A long chain is followed by pieces: one copy and one hash, not one a link

Cause: a receiver made each value between, copied it whole and hashed it, up to 256 times for one chain, in one step of its loop. A data node with 0.12 of a core would stand still for seconds. And a delta whose steps copy the base again and again could make a result of any size from a small message.

Ruled out: fewer links in a chain (who is 33 small changes behind would fetch the whole value); leaving out only the hashes (copies of 256 x 1.3 MB stay).

A delta of 64 MiB and more gave a value before and gives nothing now; so does a text of more than 65,536 pieces, whose receiver then fetches the whole value.

--- a/src/core/configuration/fetch.cpp
+++ b/src/core/configuration/fetch.cpp
@@ -15,7 +15,6 @@
 constexpr Moment answers_per_bound = 10;
 constexpr Moment patience_doublings = 3;
 constexpr std::size_t sources_most = 8;
-constexpr std::size_t value_most = 64U << 20U;
 
 Moment first_patience(const NewsState& state) { return state.bound / answers_per_bound; }
 Moment most_patience(const NewsState& state) { return first_patience(state) << patience_doublings; }
@@ -89,16 +88,20 @@
 
 /// The value that a chain leads to from the one here; nothing when it doesn't begin here.
 std::optional<wire::RegisterValue> follow_chain(const wire::RegisterValue& own, const wire::ValueChain& chain) {
-  auto value = own;
+  wire::RegisterValue value;
+  value.set_key(own.key());
+  value.set_version(own.version());
+  std::vector<const wire::Delta*> deltas;
   for (const auto& link : chain.links()) {
     if (link.version() <= value.version()) continue;
     if (link.base_version() != value.version()) return std::nullopt;
-    auto next = apply_delta(value.value(), link.delta());
-    if (!next) return std::nullopt;
     value.set_version(link.version());
     value.set_epoch(link.epoch());
-    value.set_value(std::move(*next));
+    deltas.push_back(&link.delta());
   }
+  auto result = apply_deltas(own.value(), deltas);
+  if (!result) return std::nullopt;
+  value.set_value(std::move(*result));
   return value;
 }
 
--- a/src/core/delta.cpp
+++ b/src/core/delta.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t block_least = 32;
 constexpr std::size_t block_most = 1024;
 constexpr std::uint64_t boundary_mask = 0x7f;
+/// A text that consists of more pieces isn't followed.
+constexpr std::size_t pieces_most = 1U << 16U;
 
 /// Bytes of a string that stand in one piece.
 struct Span {
@@ -72,6 +74,59 @@
   step->mutable_literal()->append(bytes);
 }
 
+/// A text that is made of pieces of others, which outlive it.
+class PiecedText {
+ public:
+  std::size_t size() const { return size_; }
+  bool too_large() const { return size_ > value_most || pieces_.size() > pieces_most; }
+
+  void append(std::string_view bytes) {
+    if (bytes.empty()) return;
+    pieces_.push_back({size_, bytes});
+    size_ += bytes.size();
+  }
+
+  /// Appends a range of another text, which lies within it.
+  void append(const PiecedText& other, std::size_t offset, std::size_t length) {
+    auto piece = std::ranges::upper_bound(other.pieces_, offset, {}, &Piece::offset);
+    if (piece != other.pieces_.begin()) --piece;
+    for (; length > 0; ++piece) {
+      const auto bytes = piece->bytes.substr(offset - piece->offset, length);
+      append(bytes);
+      offset += bytes.size();
+      length -= bytes.size();
+    }
+  }
+
+  std::string text() const {
+    std::string text;
+    text.reserve(size_);
+    for (const auto& piece : pieces_) text += piece.bytes;
+    return text;
+  }
+
+ private:
+  struct Piece {
+    std::size_t offset;
+    std::string_view bytes;
+  };
+
+  std::vector<Piece> pieces_;
+  std::size_t size_ = 0;
+};
+
+/// What a delta makes of its base, by pieces of the base and of the delta; nothing when it doesn't fit or is too large.
+std::optional<PiecedText> follow_delta(const PiecedText& base, const wire::Delta& delta) {
+  PiecedText result;
+  for (const auto& step : delta.steps()) {
+    if (step.offset() > base.size() || step.length() > base.size() - step.offset()) return std::nullopt;
+    result.append(base, step.offset(), step.length());
+    result.append(step.literal());
+    if (result.too_large()) return std::nullopt;
+  }
+  return result;
+}
+
 }  // namespace
 
 wire::Delta make_delta(std::string_view base, std::string_view target) {
@@ -98,13 +153,20 @@
 }
 
 std::optional<std::string> apply_delta(std::string_view base, const wire::Delta& delta) {
-  std::string result;
-  for (const auto& step : delta.steps()) {
-    if (step.offset() > base.size() || step.length() > base.size() - step.offset()) return std::nullopt;
-    result += base.substr(step.offset(), step.length());
-    result += step.literal();
+  return apply_deltas(base, {&delta});
+}
+
+std::optional<std::string> apply_deltas(std::string_view base, const std::vector<const wire::Delta*>& deltas) {
+  if (deltas.empty()) return std::nullopt;
+  PiecedText text;
+  text.append(base);
+  for (const auto* delta : deltas) {
+    auto next = follow_delta(text, *delta);
+    if (!next) return std::nullopt;
+    text = std::move(*next);
   }
-  if (sha256(result) != delta.result_hash()) return std::nullopt;
+  auto result = text.text();
+  if (sha256(result) != deltas.back()->result_hash()) return std::nullopt;
   return result;
 }
 
