A source keeps the contents that are being fetched, and hashes a value once

Cause: of 16 contents the one that was made first was dropped, though somebody was in the middle of it. In a storm each change makes one or more contents, so a process that starts on a slow link began anew after 16 changes, for as long as the storm lasts. And each content of one version hashed the value again.

--- a/src/core/configuration/serve.cpp
+++ b/src/core/configuration/serve.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t chain_share = 2;
 /// Links that are kept for each key.
 constexpr std::size_t links_most = 256;
-/// Contents that are kept; who fetches an older one begins anew.
+/// Contents that are kept, those that were asked for last; who fetches another one begins anew.
 constexpr std::size_t served_most = 16;
 
 /// The links from a version to the newest one; empty when there is no such way.
@@ -34,6 +34,14 @@
   return found == state.delivery.served.end() ? nullptr : &*found;
 }
 
+/// A value's hash, which is made once for all contents that lead to it.
+std::string hash_of(const NewsState& state, const wire::RegisterValue& value) {
+  const auto& served = state.delivery.served;
+  const auto known = std::ranges::find_if(
+      served, [&](const ServedContent& item) { return item.key == value.key() && item.version == value.version(); });
+  return known == served.end() ? sha256(value.value()) : known->value_hash;
+}
+
 /// The content that was asked for; the newest that leads on from the asker's version where there is no such.
 ServedContent* content_for(NewsState& state, const wire::ValueAsk& ask) {
   if (auto* found = find_content(state, ask)) return found;
@@ -46,10 +54,13 @@
   actual.set_version(value->second.version());
   if (!shorter) actual.set_base_version(0);
   if (auto* found = find_content(state, actual)) return found;
-  if (state.delivery.served.size() >= served_most) state.delivery.served.pop_front();
-  return &state.delivery.served.emplace_back(
-      ServedContent{ask.key(), value->second.epoch(), actual.version(), actual.base_version(),
-                    shorter ? chain.SerializeAsString() : value->second.value(), sha256(value->second.value())});
+  auto hash = hash_of(state, value->second);
+  // What is being fetched stays, however much has come since it was begun.
+  auto& served = state.delivery.served;
+  if (served.size() >= served_most) served.erase(std::ranges::min_element(served, {}, &ServedContent::asked));
+  return &served.emplace_back(ServedContent{ask.key(), value->second.epoch(), actual.version(), actual.base_version(),
+                                            shorter ? chain.SerializeAsString() : value->second.value(),
+                                            std::move(hash)});
 }
 
 }  // namespace
--- a/test/unit/fetchcost.cpp
+++ b/test/unit/fetchcost.cpp
@@ -1,6 +1,7 @@
 #include <ctime>
 
 #include "core/hash.hpp"
+#include "core/membership/rendezvous.hpp"
 #include "unit/fetchbench.hpp"
 
 using namespace weldsail;
@@ -33,8 +34,50 @@
   return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / 1e9;
 }
 
+wire::Envelope ask_for(const FetchProcess& server, const std::string& from, std::uint64_t version,
+                       std::uint64_t base_version, std::uint64_t offset) {
+  wire::Envelope envelope;
+  envelope.set_from(digest(from));
+  envelope.set_to(server.member.self.node());
+  envelope.set_address(from);
+  auto* ask = envelope.mutable_value_ask();
+  ask->set_key(config_key);
+  ask->set_version(version);
+  ask->set_base_version(base_version);
+  ask->set_offset(offset);
+  return envelope;
+}
+
+wire::ValuePart only_part(const Effects& effects) {
+  REQUIRE(effects.size() == 1);
+  return std::get<SendMessage>(effects[0]).envelope.value_part();
+}
+
 }  // namespace
 
+TEST_CASE("a slow fetch ends though versions come while others fetch them", "[delivery]") {
+  // A process that starts on a slow link, beside data nodes that are one version behind, as in a storm of changes.
+  FetchBench bench(1);
+  bench.delay_most = 60;
+  bench.add("s1", Program::control);
+  bench.add("d1", Program::data);
+  bench.commit(random_text(bench.chance, large));
+  bench.give("s1");
+  bench.ask_news("d1", "s1");
+  auto& server = bench.processes.at("s1");
+  for (int turn = 0; turn < 200 && bench.version("d1") == 0; ++turn) {
+    bench.commit(with_small_change(bench.chance, bench.committed.back()));
+    bench.give("s1");
+    Effects effects;
+    serve_asked(server.news, server.member, ask_for(server, "d2", bench.newest(), bench.newest() - 1, 0), bench.now,
+                effects);
+    bench.run_until(bench.now + 100);
+  }
+  CAPTURE(bench.newest());
+  CHECK(bench.version("d1") > 0);
+  CHECK(bench.processes.at("d1").news.delivery.counters.fetches_restarted == 0);
+}
+
 TEST_CASE("a long chain costs a receiver no more than a few times what its value costs", "[delivery]") {
   FetchBench bench(2);
   bench.delay_most = 1;
@@ -69,3 +112,32 @@
   delta.set_result_hash(sha256(result));
   CHECK_FALSE(apply_delta(base, delta));
 }
+
+TEST_CASE("many askers with bases of their own cost a source little", "[delivery]") {
+  FetchBench bench(3);
+  auto& server = bench.add("s1", Program::control);
+  bench.commit(random_text(bench.chance, 2 * large));
+  constexpr std::uint64_t askers = 40;
+  while (bench.newest() <= askers) {
+    auto content = bench.committed.back();
+    content.replace(bench.chance.below(large), 1000, random_text(bench.chance, 1000));
+    bench.commit(std::move(content));
+  }
+  give_from(bench, "s1", 1);
+  const auto measure = [&](auto&& work) {
+    const auto begun = processor_time();
+    work();
+    return processor_time() - begun;
+  };
+  const auto hashed = measure([&] { sha256(bench.committed.back()); });
+  std::size_t bytes = 0;
+  const auto spent = measure([&] {
+    for (std::uint64_t base = 1; base <= askers; ++base) {
+      Effects effects;
+      serve_asked(server.news, server.member, ask_for(server, "d", bench.newest(), base, 0), bench.now, effects);
+      bytes += only_part(effects).bytes().size();
+    }
+  });
+  CAPTURE(hashed, spent, bytes);
+  CHECK(spent < askers * hashed / 2);
+}
