A departing process answers requests that are half here

Cause: when the loop has ended, a process waits up to its write time only while answers are being written. A request whose body was still coming then was cut after 0.2 s, without a word to its caller. It has the same time as answers now, and gets 503 when it is whole; nothing of it is run.

Attacks that held, kept as a test: a second SIGTERM, and requests held for a first configuration, which are answered.

The full `units` and the `process` cases have not been run on this commit; the loop in node.cpp has no test of its own.

--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -86,8 +86,8 @@
   callers_.close_after_answers();
   callers_.close_resting();
   const auto begun = monotonic_now();
-  for (auto now = begun; now < begun + farewell || (callers_.writing() && now < begun + write_time_);
-       now = monotonic_now()) {
+  const auto busy = [this] { return callers_.writing() || callers_.receiving(); };
+  for (auto now = begun; now < begun + farewell || (busy() && now < begun + write_time_); now = monotonic_now()) {
     loop_.step(write_pause);
     // Who still asks on an open pipe hears that nothing was run, and that the pipe ends.
     for (const auto& event : std::exchange(events_, {}))
--- a/src/shell/node.hpp
+++ b/src/shell/node.hpp
@@ -39,7 +39,8 @@
   void take(const Event& event);
   void carry_out(Effect& effect);
   void send(const SendMessage& effect);
-  /// Lets a departing process end its connections in order, and its answers be written.
+  /// Lets a departing process end its connections in order: answers are written, and requests that are half here told
+  /// that they weren't run.
   void write_out();
   /// Does what is due; the milliseconds until more will be.
   int beat();
@@ -57,7 +58,7 @@
   std::deque<Event> later_;
   Moment next_tick_ = 0;
   bool departed_ = false;
-  /// Longest time for writing answers out after that.
+  /// Longest time for that.
   Moment write_time_ = 0;
 };
 
--- a/src/shell/pipes.cpp
+++ b/src/shell/pipes.cpp
@@ -14,6 +14,8 @@
 constexpr Moment sweep_pause = 250;
 constexpr std::size_t input_bodies = 16;
 
+bool has_input(const h2o_socket_t* socket) { return socket->input != nullptr && socket->input->size > 0; }
+
 }  // namespace
 
 void shut(h2o_socket_t* socket) { shutdown(h2o_socket_get_fd(socket), SHUT_RDWR); }
@@ -114,13 +116,19 @@
   std::set<h2o_socket_t*> answering;
   for (const auto& [number, pending] : pending_) answering.insert(pending->socket());
   for (const auto& [socket, pipe] : pipes_) {
-    const bool receiving = socket->input != nullptr && socket->input->size > 0;
-    if (!pipe->used || receiving || answering.contains(socket) || !rests(socket)) continue;
+    if (!pipe->used || has_input(socket) || answering.contains(socket) || !rests(socket)) continue;
     pipe->closed = true;
     shut(socket);
   }
 }
 
+bool Server::receiving() const {
+  std::set<h2o_socket_t*> answering;
+  for (const auto& [number, pending] : pending_) answering.insert(pending->socket());
+  return std::ranges::any_of(
+      pipes_, [&](const auto& item) { return has_input(item.first) && !answering.contains(item.first); });
+}
+
 bool Server::writing() const {
   return std::ranges::any_of(pending_, [](const auto& item) { return item.second->ending; });
 }
--- a/src/shell/server.hpp
+++ b/src/shell/server.hpp
@@ -47,6 +47,8 @@
   void close_resting();
   /// True while an ended answer isn't yet handed to the system whole.
   bool writing() const;
+  /// True while a request has begun to come and isn't whole yet.
+  bool receiving() const;
   /// Looks for askers that have closed their pipe, and closes pipes that are past the limits.
   void sweep(Moment now);
   std::size_t open_pipes() const { return pipes_.size(); }
--- a/test/unit/leaving.cpp
+++ b/test/unit/leaving.cpp
@@ -201,3 +201,45 @@
     return !connection.server.writing();
   }));
 }
+
+TEST_CASE("a server knows that a request is half here, and answers it when it is whole") {
+  Connection connection;
+  for (int turn = 0; turn < 20; ++turn) connection.loop.step(1);
+  // A connection on which nothing has come keeps nobody.
+  CHECK_FALSE(connection.server.receiving());
+  connection.use_once();
+  CHECK_FALSE(connection.server.receiving());
+  connection.last = none;
+  connection.caller->say("POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\n12345");
+  REQUIRE(pump(connection.loop, [&] { return connection.server.receiving(); }));
+  connection.server.close_after_answers();
+  connection.server.close_resting();
+  CHECK(connection.stays());
+  CHECK(connection.last == none);
+  connection.caller->say("67890");
+  REQUIRE(pump(connection.loop, [&] { return connection.last != none; }));
+  CHECK_FALSE(connection.server.receiving());
+  connection.server.answer({connection.last, 503, {}, {}, true});
+  CHECK(connection.hears("HTTP/1.1 503"));
+  CHECK(connection.ends());
+}
+
+TEST_CASE("a second request to leave changes nothing, and who waits for a first configuration is answered", "[carry]") {
+  Bench bench;
+  bench.state.path.config.reset();
+  const auto begun = bench.now;
+  const auto held = bench.ask("/note/x");
+  CHECK(bench.all<Answer>().empty());
+  reduce(bench.state, Leaving{}, begun);
+  const auto due = bench.state.leave_due;
+  bool answered = false;
+  for (bool departed = false; !departed; bench.now += 50) {
+    REQUIRE(bench.now < begun + bench.state.options.limits.grace);
+    CHECK(reduce(bench.state, Leaving{}, bench.now).empty());
+    bench.effects = reduce(bench.state, Ticked{1}, bench.now);
+    for (const auto& answer : bench.all<Answer>()) answered = answered || answer.request == held;
+    departed = !bench.all<Depart>().empty();
+    CHECK((!departed || answered));
+  }
+  CHECK(bench.state.leave_due == due);
+}
