--- a/test/unit/acceptbench.hpp
+++ b/test/unit/acceptbench.hpp
@@ -105,6 +105,8 @@
   double doubled = 0;
   Moment delay_most = 10;
   Moment sync_most = 10;
+  /// Share of the syncs that fail and keep nothing.
+  double sync_failed = 0;
   /// What was proposed under each epoch and version, and what was committed as each version.
   std::map<AcceptedTag, std::string> proposed;
   std::map<std::uint64_t, std::string> committed;
@@ -133,9 +135,11 @@
 
   void synced(const Pending& event) {
     auto& process = processes[event.to];
-    for (const auto& [name, bytes] : event.records) process.disk[name] = bytes;
+    const bool kept = sync_failed == 0 || !chance.happens(sync_failed);
+    if (kept)
+      for (const auto& [name, bytes] : event.records) process.disk[name] = bytes;
     Effects effects;
-    acceptor_persisted(process.acceptor, process.member, {event.token, true}, effects);
+    acceptor_persisted(process.acceptor, process.member, {event.token, kept}, effects);
     carry_out(event.to, effects);
   }
 
--- a/test/unit/acceptdelta.cpp
+++ b/test/unit/acceptdelta.cpp
@@ -154,6 +154,20 @@
   CHECK(left_out > 0);
 }
 
+TEST_CASE("a disk whose syncs fail holds just what was proposed, and loses nothing that was committed", "[register]") {
+  std::size_t committed = 0;
+  for (std::uint64_t seed = 1; seed <= seeds / 3; ++seed) {
+    AcceptBench bench(seed, seed % 2 == 0 ? 3 : 5);
+    bench.sync_failed = 0.05 * static_cast<double>(1 + seed % 4);
+    bench.loss = seed % 3 == 0 ? 0.1 : 0;
+    bench.delay_most = seed % 5 == 0 ? 150 : 15;
+    CAPTURE(seed);
+    run_troubled(bench);
+    committed += bench.committed.size();
+  }
+  CHECK(committed > 10 * seeds / 3);
+}
+
 TEST_CASE("a disk without the base asks for the whole and gets it once", "[register]") {
   AcceptBench bench(1, 3);
   take(bench, 0);
