--- a/test/unit/fetch.cpp
+++ b/test/unit/fetch.cpp
@@ -29,7 +29,6 @@
 
 const std::vector<std::string> sources{"s1", "s2", "s3"};
 const std::vector<std::string> receivers{"d1", "d2", "c4", "f1"};
-
 void ask_all(FetchBench& bench, double share) {
   for (const auto& receiver : receivers)
     if (bench.chance.happens(share)) bench.ask_news(receiver, sources[bench.chance.below(sources.size())]);
@@ -41,6 +40,9 @@
     bench.add(receiver, receiver.starts_with('c') ? Program::control : Program::data).former = receiver == "f1";
 }
 
+/// Half seconds for recovery: where messages take up to 0.6 s each way, a value of 13 parts takes as many rounds.
+int turns_to_recover(const FetchBench& bench) { return bench.delay_most > 100 ? 40 : 20; }
+
 /// Versions come while sources die, begin anew with nothing, or lag behind; then all is well again.
 void run_troubled(FetchBench& bench) {
   add_all(bench);
@@ -66,7 +68,7 @@
     bench.processes.at(source).alive = true;
     bench.give(source);
   }
-  for (int turn = 0; turn < 40; ++turn) {
+  for (int turn = 0; turn < turns_to_recover(bench); ++turn) {
     ask_all(bench, 1);
     bench.run_until(bench.now + 500);
   }
@@ -151,7 +153,7 @@
   for (const auto* source : {"s1", "s2"}) bench.ask_news("d1", source);
   bench.run_until(bench.now + 150);
   const auto first = receiver.news.delivery.fetches.at(config_key);
-  REQUIRE(first.received.size() > 0);
+  REQUIRE_FALSE(first.received.empty());
   bench.processes.at(first.address).alive = false;
   bench.run_until(bench.now + 5000);
   CHECK(bench.version("d1") == 1);
@@ -165,7 +167,7 @@
     for (const auto* source : {"s1", "s2"}) bench.add(source, Program::control);
     bench.add("d1", Program::data);
     bench.commit(random_text(bench.chance, 4 * large));
-    const auto length = static_cast<std::size_t>(20000 + bench.chance.below(40000));
+    const auto length = 20000 + bench.chance.below(40000);
     bench.commit(with_piece(bench.committed[0], 1000, random_text(bench.chance, length)));
     bench.commit(with_piece(bench.committed[0], 1000, random_text(bench.chance, 1 + bench.chance.below(length))));
     give_each(bench, "s1", {1, 2, 3});
@@ -175,8 +177,7 @@
     const auto& fetches = bench.processes.at("d1").news.delivery.fetches;
     while (!fetches.contains(config_key) || fetches.at(config_key).received.empty()) bench.run_until(bench.now + 10);
     bench.processes.at("s1").alive = false;
-    // A value of 13 parts takes as many rounds, of up to 0.6 s each way.
-    for (int turn = 0; turn < 40; ++turn) {
+    for (int turn = 0; turn < turns_to_recover(bench); ++turn) {
       bench.ask_news("d1", "s2");
       bench.run_until(bench.now + 500);
     }
@@ -199,7 +200,7 @@
            life < 8)
       bench.run_until(bench.now + 10);
   }
-  for (int turn = 0; turn < 40; ++turn) {
+  for (int turn = 0; turn < turns_to_recover(bench); ++turn) {
     bench.ask_news("d1", "s1");
     bench.run_until(bench.now + 500);
   }
@@ -209,7 +210,7 @@
 TEST_CASE("many offered versions are all missing until the newest is here", "[delivery]") {
   FetchBench bench(4);
   auto& receiver = bench.add("d1", Program::data);
-  constexpr std::uint64_t count = 100;
+  const std::uint64_t count = 100;
   for (std::uint64_t version = 1; version <= count; ++version) {
     bench.commit(std::to_string(version));
     wire::Envelope envelope;
