Acceptor: one question for the value accepted under an epoch and version

Cause: control_learn and take_offer each looked through the acceptor's copies with the same three comparisons. acceptor_accepted answers it once. Behaviour is as it was.

--- a/src/core/consensus/acceptor.cpp
+++ b/src/core/consensus/acceptor.cpp
@@ -149,6 +149,14 @@
   }
 }
 
+const std::string* acceptor_accepted(const AcceptorState& state, const std::string& key, std::uint64_t epoch,
+                                     std::uint64_t version) {
+  const auto found = state.copies.find(key);
+  if (found == state.copies.end()) return nullptr;
+  const auto& copy = found->second;
+  return copy.accepted_epoch == epoch && copy.version == version ? &copy.value : nullptr;
+}
+
 std::vector<std::pair<std::string, std::string>> acceptor_records(const AcceptorState& state) {
   std::vector<std::pair<std::string, std::string>> records;
   for (const auto& [key, copy] : state.copies) {
--- a/src/core/consensus/acceptor.hpp
+++ b/src/core/consensus/acceptor.hpp
@@ -30,6 +30,11 @@
 /// Sends the answers that waited for the disk; a failed sync gives none.
 void acceptor_persisted(AcceptorState& state, const MemberState& member, const Persisted& event, Effects& effects);
 
+/// The value that this disk has accepted under just this epoch and version; null where it has accepted another, or
+/// none.
+const std::string* acceptor_accepted(const AcceptorState& state, const std::string& key, std::uint64_t epoch,
+                                     std::uint64_t version);
+
 /// All that this disk remembers, as records.
 std::vector<std::pair<std::string, std::string>> acceptor_records(const AcceptorState& state);
 
--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -97,10 +97,8 @@
     state.repair.committed = std::max(state.repair.committed, core_tag(core));
   }
   if (!news_learn(state.news, state.member, state.formation.core, value, now, effects)) return;
-  const auto copy = state.acceptor.copies.find(value.key());
-  const bool same = copy != state.acceptor.copies.end() && copy->second.accepted_epoch == value.epoch() &&
-                    copy->second.version == value.version();
-  if (same && copy->second.value != value.value())
+  const auto* accepted = acceptor_accepted(state.acceptor, value.key(), value.epoch(), value.version());
+  if (accepted != nullptr && *accepted != value.value())
     delivery_violated(state.news.delivery, "an epoch and version name one value", value.key(), value.version(),
                       effects);
   note(effects, "news.learned", {{"key", value.key()}, {"version", std::to_string(value.version())}});
@@ -117,15 +115,13 @@
 /// very value, so it needn't be fetched.
 void take_offer(ControlState& state, const wire::Envelope& envelope, const wire::Known& offer, Moment now,
                 Effects& effects) {
-  const auto copy = state.acceptor.copies.find(offer.key());
-  const bool accepted = copy != state.acceptor.copies.end() && copy->second.accepted_epoch == offer.epoch() &&
-                        copy->second.version == offer.version();
-  if (!accepted) return fetch_offered(state.news, state.member, envelope, offer, now, effects);
+  const auto* accepted = acceptor_accepted(state.acceptor, offer.key(), offer.epoch(), offer.version());
+  if (accepted == nullptr) return fetch_offered(state.news, state.member, envelope, offer, now, effects);
   wire::RegisterValue value;
   value.set_key(offer.key());
   value.set_epoch(offer.epoch());
   value.set_version(offer.version());
-  value.set_value(copy->second.value);
+  value.set_value(*accepted);
   control_learn(state, value, now, effects);
 }
 
