Delivery: the size of links is kept as a sum, newest whole values are served uncopied

Cause: serve_learned encoded the sizes of all links (up to 256) at each value learned, and content_for copied a whole value that NewsState::values holds. LinkHistory keeps the sum; ServedContent holds bytes of its own for chains only, and for a whole value once it is superseded while somebody fetches it. Behaviour is as it was; no figure of the saving was taken. The test that tampers with a link reaches it through the new struct; its assertion is unchanged.

--- a/src/core/configuration/deliverystate.hpp
+++ b/src/core/configuration/deliverystate.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "core/delta.hpp"
@@ -39,13 +40,21 @@
   Moment patience = 0;
 };
 
+/// Links between the newest versions of a key that went through here, without a gap.
+struct LinkHistory {
+  std::deque<wire::ValueLink> links;
+  /// Encoded size of all links.
+  std::size_t bytes = 0;
+};
+
 /// Content that somebody fetches; kept while it is asked for, though a newer version may have come.
 struct ServedContent {
   std::string key;
   std::uint64_t epoch = 0;
   std::uint64_t version = 0;
   std::uint64_t base_version = 0;
-  std::string bytes;
+  /// Nothing for the whole value that is the newest here: its bytes are those in NewsState::values.
+  std::optional<std::string> own_bytes;
   std::string value_hash;
   Moment asked = 0;
 };
@@ -69,8 +78,7 @@
   /// For each key, who has offered a version newer than the one here.
   std::map<std::string, std::map<std::uint64_t, ValueSource>> sources;
   std::map<std::string, Fetch> fetches;
-  /// Links between the newest versions of each key that went through here, without a gap.
-  std::map<std::string, std::deque<wire::ValueLink>> links;
+  std::map<std::string, LinkHistory> links;
   std::deque<ServedContent> served;
   /// Versions of the configuration that are known to be committed and aren't here yet, with when that was heard.
   std::map<std::uint64_t, Moment> missing;
--- a/src/core/configuration/fetch.cpp
+++ b/src/core/configuration/fetch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "core/configuration/serve.hpp"
 #include "core/consensus/duty.hpp"
 #include "core/delta.hpp"
 #include "core/hash.hpp"
@@ -118,9 +119,9 @@
   auto followed = follow_chain(own->second, chain);
   if (!followed || followed->version() != fetch.version || followed->epoch() != fetch.epoch) return std::nullopt;
   if (sha256(followed->value()) != fetch.value_hash) return std::nullopt;
-  auto& links = state.delivery.links[key];
+  auto& history = state.delivery.links[key];
   for (auto& link : *chain.mutable_links())
-    if (link.version() > own->second.version()) links.push_back(std::move(link));
+    if (link.version() > own->second.version()) serve_add_link(history, std::move(link));
   return followed;
 }
 
--- a/src/core/configuration/serve.cpp
+++ b/src/core/configuration/serve.cpp
@@ -19,14 +19,30 @@
 /// The links from a version to the newest one; empty when there is no such way.
 wire::ValueChain chain_from(const NewsState& state, const wire::RegisterValue& value, std::uint64_t base_version) {
   wire::ValueChain chain;
-  const auto links = state.delivery.links.find(value.key());
-  if (links == state.delivery.links.end() || links->second.empty()) return chain;
-  if (links->second.back().version() != value.version()) return chain;
-  const auto first = std::ranges::find(links->second, base_version, &wire::ValueLink::base_version);
-  for (auto link = first; link != links->second.end(); ++link) *chain.add_links() = *link;
+  const auto history = state.delivery.links.find(value.key());
+  if (history == state.delivery.links.end()) return chain;
+  const auto& links = history->second.links;
+  if (links.empty() || links.back().version() != value.version()) return chain;
+  const auto first = std::ranges::find(links, base_version, &wire::ValueLink::base_version);
+  for (auto link = first; link != links.end(); ++link) *chain.add_links() = *link;
   return chain;
 }
 
+void drop_oldest_link(LinkHistory& history) {
+  history.bytes -= history.links.front().ByteSizeLong();
+  history.links.pop_front();
+}
+
+const std::string& content_bytes(const NewsState& state, const ServedContent& content) {
+  return content.own_bytes ? *content.own_bytes : state.values.at(content.key).value();
+}
+
+/// Whoever fetches a superseded value as a whole may go on with it.
+void keep_superseded(DeliveryState& delivery, const wire::RegisterValue& former) {
+  for (auto& content : delivery.served)
+    if (!content.own_bytes && content.key == former.key()) content.own_bytes = former.value();
+}
+
 ServedContent* find_content(NewsState& state, const wire::ValueAsk& ask) {
   const auto found = std::ranges::find_if(state.delivery.served, [&](const ServedContent& item) {
     return item.key == ask.key() && item.version == ask.version() && item.base_version == ask.base_version();
@@ -47,9 +63,14 @@
   if (!shorter) actual.set_base_version(0);
   if (auto* found = find_content(state, actual)) return found;
   if (state.delivery.served.size() >= served_most) state.delivery.served.pop_front();
-  return &state.delivery.served.emplace_back(
-      ServedContent{ask.key(), value->second.epoch(), actual.version(), actual.base_version(),
-                    shorter ? chain.SerializeAsString() : value->second.value(), sha256(value->second.value())});
+  auto& content = state.delivery.served.emplace_back();
+  content.key = ask.key();
+  content.epoch = value->second.epoch();
+  content.version = actual.version();
+  content.base_version = actual.base_version();
+  if (shorter) content.own_bytes = chain.SerializeAsString();
+  content.value_hash = sha256(value->second.value());
+  return &content;
 }
 
 }  // namespace
@@ -72,44 +93,49 @@
   auto* content = content_for(state, ask);
   if (content == nullptr) return;
   content->asked = now;
+  const auto& bytes = content_bytes(state, *content);
   const bool same = content->version == ask.version() && content->base_version == ask.base_version();
-  const auto offset = same ? std::min<std::uint64_t>(ask.offset(), content->bytes.size()) : 0;
+  const auto offset = same ? std::min<std::uint64_t>(ask.offset(), bytes.size()) : 0;
   auto answer = member_envelope(member, envelope.from());
   auto* part = answer.mutable_value_part();
   part->set_key(content->key);
   part->set_epoch(content->epoch);
   part->set_version(content->version);
   part->set_base_version(content->base_version);
-  part->set_size(content->bytes.size());
+  part->set_size(bytes.size());
   part->set_offset(offset);
-  part->set_bytes(content->bytes.substr(offset, part_bytes));
+  part->set_bytes(bytes.substr(offset, part_bytes));
   part->set_value_hash(content->value_hash);
   state.delivery.counters.bytes_sent += part->bytes().size();
   effects.push_back(SendMessage{envelope.address(), std::move(answer)});
 }
 
+void serve_add_link(LinkHistory& history, wire::ValueLink link) {
+  history.bytes += link.ByteSizeLong();
+  history.links.push_back(std::move(link));
+}
+
 void serve_learned(NewsState& state, const MemberState& member, const wire::RegisterValue& former,
                    const wire::RegisterValue& value) {
-  auto& links = state.delivery.links[value.key()];
+  keep_superseded(state.delivery, former);
+  auto& history = state.delivery.links[value.key()];
+  auto& links = history.links;
   const bool linked = !links.empty() && links.back().version() == value.version();
   if (!linked) {
     // A data node is nobody's steady source: it keeps the links that it was given, and makes none.
     const bool makes = member.options.program == Program::control && former.value().size() > inline_most;
-    if (!makes || (!links.empty() && links.back().version() != former.version())) links.clear();
+    if (!makes || (!links.empty() && links.back().version() != former.version())) history = {};
     if (makes) {
-      auto& link = links.emplace_back();
+      wire::ValueLink link;
       link.set_base_version(former.version());
       link.set_version(value.version());
       link.set_epoch(value.epoch());
       *link.mutable_delta() = make_delta(former.value(), value.value());
+      serve_add_link(history, std::move(link));
     }
   }
-  std::size_t bytes = 0;
-  for (const auto& link : links) bytes += link.ByteSizeLong();
-  while (!links.empty() && (links.size() > links_most || bytes > value.value().size())) {
-    bytes -= links.front().ByteSizeLong();
-    links.pop_front();
-  }
+  while (!links.empty() && (links.size() > links_most || history.bytes > value.value().size()))
+    drop_oldest_link(history);
   if (links.empty()) state.delivery.links.erase(value.key());
 }
 
--- a/src/core/configuration/serve.hpp
+++ b/src/core/configuration/serve.hpp
@@ -8,6 +8,8 @@
 /// Answers an ask for a part: with the part, or with the begin of what is newest here when that content is gone.
 void serve_asked(NewsState& state, const MemberState& member, const wire::Envelope& envelope, Moment now,
                  Effects& effects);
+/// Adds a link that leads on from the newest one.
+void serve_add_link(LinkHistory& history, wire::ValueLink link);
 /// Keeps how a value was made from the one that it follows here, for those who have that one.
 void serve_learned(NewsState& state, const MemberState& member, const wire::RegisterValue& former,
                    const wire::RegisterValue& value);
--- a/test/unit/fetch.cpp
+++ b/test/unit/fetch.cpp
@@ -134,7 +134,7 @@
   bench.commit(with_piece(bench.committed[0], 100, "changed"));
   bench.give("s1");
   // The link is whole in itself, and leads to bytes that nobody committed.
-  auto& link = bench.processes.at("s1").news.delivery.links.at(config_key).back();
+  auto& link = bench.processes.at("s1").news.delivery.links.at(config_key).links.back();
   *link.mutable_delta() = make_delta(bench.committed[0], with_piece(bench.committed[0], 100, "another"));
   bench.ask_news("d1", "s1");
   bench.run_until(bench.now + 3000);
