One bound for the longest message and the longest value

Cause: value_most (fetch.cpp) and frame_most (frame.hpp) were both 64 MiB, written twice. message_most stands beside SendMessage in effect.hpp.

--- a/src/core/configuration/fetch.cpp
+++ b/src/core/configuration/fetch.cpp
@@ -16,7 +16,6 @@
 constexpr Moment answers_per_bound = 10;
 constexpr Moment patience_doublings = 3;
 constexpr std::size_t sources_most = 8;
-constexpr std::size_t value_most = 64U << 20U;
 
 Moment first_patience(const NewsState& state) { return state.bound / answers_per_bound; }
 Moment most_patience(const NewsState& state) { return first_patience(state) << patience_doublings; }
@@ -168,7 +167,7 @@
   if (!fits(state, found->second, envelope.from(), part)) return std::nullopt;
   auto& fetch = found->second;
   const bool empty = part.bytes().empty() && part.size() > 0;
-  if (empty || part.size() > value_most || fetch.received.size() + part.bytes().size() > part.size())
+  if (empty || part.size() > message_most || fetch.received.size() + part.bytes().size() > part.size())
     return std::nullopt;
   fetch.version = part.version();
   fetch.epoch = part.epoch();
--- a/src/core/effect.hpp
+++ b/src/core/effect.hpp
@@ -6,6 +6,9 @@
 
 namespace weldsail {
 
+/// Bytes of the longest message between processes, and so of the longest value: a former release takes values whole.
+inline constexpr std::size_t message_most = 64U << 20U;
+
 /// Send a message to a process's peer address; it may be lost.
 struct SendMessage {
   std::string address;
--- a/src/shell/frame.cpp
+++ b/src/shell/frame.cpp
@@ -21,7 +21,7 @@
   std::size_t length = 0;
   if (place > end ||
       std::from_chars(head.data() + place + length_name.size(), head.data() + end, length).ec != std::errc() ||
-      length > frame_most)
+      length > message_most)
     return broke_down(Breakdown::malformed);
   const auto begin = end + head_end.size();
   if (bytes.size() - begin < length) return std::optional<Frame>();
@@ -42,7 +42,7 @@
   if (bytes.size() < length_size) return std::optional<Frame>();
   std::size_t length = 0;
   for (const char byte : bytes.substr(0, length_size)) length = length << 8U | static_cast<unsigned char>(byte);
-  if (length > frame_most) return broke_down(Breakdown::malformed);
+  if (length > message_most) return broke_down(Breakdown::malformed);
   if (bytes.size() - length_size < length) return std::optional<Frame>();
   return Frame{length_size, length};
 }
--- a/src/shell/frame.hpp
+++ b/src/shell/frame.hpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/effect.hpp"
 #include "core/forwarding/outcome.hpp"
 
 namespace weldsail {
@@ -20,8 +21,6 @@
 inline constexpr std::string_view frame_greeting = "weldsail1\n";
 /// The answer that ends a message framed as a request.
 inline constexpr std::string_view frame_answer = "HTTP/1.1 204 OK\r\n\r\n";
-/// Bytes of the longest message.
-inline constexpr std::size_t frame_most = 64U << 20U;
 
 /// Where a whole message stands in the bytes; it is followed by the next one.
 struct Frame {
--- a/src/shell/messenger.cpp
+++ b/src/shell/messenger.cpp
@@ -95,7 +95,7 @@
   if (link == nullptr) return;
   const auto size = envelope.ByteSizeLong();
   auto& queued = link->queued;
-  if (size > frame_most || (queued.size() > frame_greeting.size() && queued.size() + size > queue_most)) return;
+  if (size > message_most || (queued.size() > frame_greeting.size() && queued.size() + size > queue_most)) return;
   queued += frame_head(link->framing, address, size);
   const auto place = queued.size();
   queued.resize(place + size);
