Requests without a place: refuse_unplaced chooses status, reason and pause

Cause: 404 or 413, or 503 while a newer configuration is known, was decided in three places. Pauses are as they were: a sixth of the bound by host and path, a second by tenant; a request that was taken before spreads its own (path_refuse). In path_move the 404 goes through give_up too, which differs only where an answer was begun and no try counts as run: its stream is broken then, where a second head would have been sent.

--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -9,6 +9,11 @@
 namespace weldsail {
 namespace {
 
+/// Pauses until a caller comes back to a newer configuration: a part of the bound for requests by host and path, a
+/// fixed time for those that name their tenant.
+constexpr Moment newer_parts = 6;
+constexpr Moment newer_pause = 1000;
+
 void hear_first(DataState& state, const wire::Envelope& envelope) {
   if (state.document_version != 0 || envelope.news().accepted_size() == 0) return;
   state.first_heard.insert(envelope.disk());
@@ -174,6 +179,12 @@
   return memo_late(state.memo, now) || fetch_late(state.news, now);
 }
 
+Refusal refuse_unplaced(const DataState& state, int status, const char* reason) {
+  if (!configuration_newer_known(state)) return {status, reason, 0};
+  const auto bound = state.options.member.bound;
+  return {503, "newer_configuration", state.options.dialect != nullptr ? bound / newer_parts : newer_pause};
+}
+
 DataState make_data(const DataOptions& options) {
   DataState state;
   state.options = options;
--- a/src/core/data.hpp
+++ b/src/core/data.hpp
@@ -133,6 +133,17 @@
 /// from the network or the disk, that the older one isn't to be served on.
 bool configuration_outdated(const DataState& state, Moment now);
 
+/// How a request is refused that has not run.
+struct Refusal {
+  int status;
+  const char* reason;
+  /// When to come back; 0 where that is no use.
+  Moment retry_after;
+};
+/// How a request is refused that the configuration in force has no place for: by the given status and reason, or to
+/// come back soon while a newer configuration is known, which may have a place for it.
+Refusal refuse_unplaced(const DataState& state, int status, const char* reason);
+
 DataState make_data(const DataOptions& options);
 /// One step of a data-plane process.
 Effects reduce(DataState& state, const Event& event, Moment now);
--- a/src/core/forwarding/paths/move.cpp
+++ b/src/core/forwarding/paths/move.cpp
@@ -96,10 +96,10 @@
   if (!carry.tries.empty() && carry.tries.back().phase == TryPhase::whole)
     return path_finish(state, carry, now, effects);
   const bool may_have_run = carry_may_have_run(carry);
-  const auto give_up = [&](const char* reason) {
+  const auto give_up = [&](const char* reason, int status = 503) {
     set_waits(state, carry, false, now);
     if (may_have_run || carry.answer_begun) return path_break(state, carry, reason, now, effects);
-    path_refuse(state, carry, 503, reason, now, effects);
+    path_refuse(state, carry, status, reason, now, effects);
   };
   if (now >= carry.due) return give_up("past_due");
   if (may_have_run && !carry_repeatable(carry)) return give_up("unknown");
@@ -113,8 +113,8 @@
   if (had_unit) set_waits(state, carry, false, now);
   if (!path_place(state, carry)) {
     if (may_have_run) return path_break(state, carry, "no_route", now, effects);
-    if (configuration_newer_known(state)) return give_up("newer_configuration");
-    return path_refuse(state, carry, 404, "no_route", now, effects);
+    const auto refusal = refuse_unplaced(state, 404, "no_route");
+    return give_up(refusal.reason, refusal.status);
   }
   if (configuration_outdated(state, now)) return give_up("newer_configuration");
   const auto choice = path_choose(state, carry, now);
--- a/src/core/forwarding/paths/take.cpp
+++ b/src/core/forwarding/paths/take.cpp
@@ -107,9 +107,8 @@
   carry.path = event.path;
   const bool placed = path_place(state, carry);
   if (!placed || event.body.size() > path.config->limits.body_bytes) {
-    // A configuration that is known to be newer than the one here may have the route, or take the body.
-    if (!configuration_newer_known(state)) return answer_plain(event.request, placed ? 413 : 404, 0, effects);
-    return answer_plain(event.request, 503, state.options.member.bound / early_parts, effects);
+    const auto refusal = placed ? refuse_unplaced(state, 413, "too_large") : refuse_unplaced(state, 404, "no_route");
+    return answer_plain(event.request, refusal.status, refusal.retry_after, effects);
   }
   carry.request = event.request;
   carry.method = event.method;
--- a/src/core/forwarding/take.cpp
+++ b/src/core/forwarding/take.cpp
@@ -98,8 +98,8 @@
   if (!state.document) return refuse(503, "no_configuration", 2);
   if (configuration_outdated(state, now)) return refuse(503, "newer_configuration", 1);
   const auto refuse_unknown = [&](const char* code) {
-    if (configuration_newer_known(state)) return refuse(503, "newer_configuration", 1);
-    refuse(404, code);
+    const auto refusal = refuse_unplaced(state, 404, code);
+    refuse(refusal.status, refusal.reason, static_cast<int>(refusal.retry_after / 1000));
   };
   const auto tenant = state.document->tenants.find(place->tenant);
   if (tenant == state.document->tenants.end()) return refuse_unknown("no_such_tenant");
