Fetch: what a part is to a fetch is one enum

Cause: fits() and the check of sizes before it were two halves of one decision. part_kind decides it without changing anything; fetch_part acts on the four kinds in a switch. Order and effects are as they were.

--- a/src/core/configuration/fetch.cpp
+++ b/src/core/configuration/fetch.cpp
@@ -124,20 +124,33 @@
   return followed;
 }
 
-bool same_name(const Fetch& fetch, const wire::ValuePart& part) {
-  return part.version() == fetch.version && part.base_version() == fetch.base_version;
+/// What a part is to the fetch of its key.
+enum class PartKind {
+  /// Neither asked for last nor of use.
+  unexpected,
+  /// The one that was asked for last.
+  next,
+  /// The begin of other content that the source has in place of what was asked for.
+  other_content,
+  /// Of another chain between the same two versions, from a process that took other versions between.
+  other_chain,
+};
+
+PartKind part_kind(const Fetch& fetch, std::uint64_t sender, const wire::ValuePart& part) {
+  const bool begun = !fetch.received.empty();
+  if (part.version() == fetch.version && part.base_version() == fetch.base_version) {
+    if (begun && part.size() != fetch.size) return PartKind::other_chain;
+    return part.offset() == fetch.received.size() ? PartKind::next : PartKind::unexpected;
+  }
+  if (part.offset() != 0 || part.version() < fetch.version) return PartKind::unexpected;
+  // A late answer of a former source is welcome as a begin, but takes nothing away.
+  if (begun && sender != fetch.source) return PartKind::unexpected;
+  return PartKind::other_content;
 }
 
-/// True when a part is the one that was asked for last, or the begin of other content that the source has in its place.
-bool fits(NewsState& state, Fetch& fetch, std::uint64_t sender, const wire::ValuePart& part) {
-  const bool same = same_name(fetch, part);
-  if (same && part.offset() == fetch.received.size()) return true;
-  if (same || part.offset() != 0 || part.version() < fetch.version) return false;
-  // A late answer of a former source is welcome as a begin, but takes nothing away.
-  if (sender != fetch.source && !fetch.received.empty()) return false;
-  if (!fetch.received.empty()) ++state.delivery.counters.fetches_restarted;
+void drop_received(DeliveryState& delivery, Fetch& fetch) {
+  if (!fetch.received.empty()) ++delivery.counters.fetches_restarted;
   fetch.received.clear();
-  return true;
 }
 
 }  // namespace
@@ -159,13 +172,13 @@
   delivery.counters.bytes_received += part.bytes().size();
   const auto found = delivery.fetches.find(part.key());
   if (found == delivery.fetches.end()) return std::nullopt;
-  // Processes that took other versions between have another chain between the same two.
-  if (same_name(found->second, part) && !found->second.received.empty() && part.size() != found->second.size) {
-    begin_anew(state, member, part.key(), 0, now, effects);
-    return std::nullopt;
-  }
-  if (!fits(state, found->second, envelope.from(), part)) return std::nullopt;
   auto& fetch = found->second;
+  switch (part_kind(fetch, envelope.from(), part)) {
+    case PartKind::unexpected: return std::nullopt;
+    case PartKind::other_chain: begin_anew(state, member, part.key(), 0, now, effects); return std::nullopt;
+    case PartKind::other_content: drop_received(delivery, fetch); break;
+    case PartKind::next: break;
+  }
   const bool empty = part.bytes().empty() && part.size() > 0;
   if (empty || part.size() > message_most || fetch.received.size() + part.bytes().size() > part.size())
     return std::nullopt;
