--- a/src/core/delta.cpp
+++ b/src/core/delta.cpp
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/effect.hpp"
 #include "core/hash.hpp"
 #include "core/membership/rendezvous.hpp"
 
@@ -78,7 +79,7 @@
 class PiecedText {
  public:
   std::size_t size() const { return size_; }
-  bool too_large() const { return size_ > value_most || pieces_.size() > pieces_most; }
+  bool too_large() const { return size_ > message_most || pieces_.size() > pieces_most; }
 
   void append(std::string_view bytes) {
     if (bytes.empty()) return;
--- a/src/core/delta.hpp
+++ b/src/core/delta.hpp
@@ -10,8 +10,6 @@
 
 /// Values up to this size are sent whole, in place of a delta.
 inline constexpr std::size_t delta_least = 16U << 10U;
-/// No value is larger, whatever way its bytes come.
-inline constexpr std::size_t value_most = 64U << 20U;
 
 /// How `target` is made from `base`. Both are cut into blocks at places that their content decides, so that a delta is
 /// about as large as what was changed, wherever that stands.
--- a/test/unit/fetchcost.cpp
+++ b/test/unit/fetchcost.cpp
@@ -105,7 +105,7 @@
   const std::string base(1U << 20U, 'x');
   wire::Delta delta;
   std::string result;
-  while (result.size() <= value_most) {
+  while (result.size() <= message_most) {
     delta.add_steps()->set_length(base.size());
     result += base;
   }
