Room is made no further ahead than the store can load

What had left was asked for again and joined the queue, so it never drained: late requests waited 3.4 to 7.9 s, of which 2 s are the load itself, the rest the store's queue. Now a unit makes others give way only while fewer loads than the store begins in a sixth of the bound (one at least) wait for it; loads that requests wait for count among themselves, others after all. Open: a planned load that never fits its worker would hold the allowance.

--- a/src/core/placement/fit.cpp
+++ b/src/core/placement/fit.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <ranges>
 
 #include "core/placement/places.hpp"
@@ -6,13 +8,71 @@
 namespace weldsail {
 namespace {
 
+/// Room is made for loads that the store can begin within this part of the bound.
+constexpr Moment made_ahead_part = 6;
+constexpr double milliseconds = 1000;
+
+/// Planned loads from the store that haven't been ordered.
+struct PendingLoads {
+  /// For units with held requests.
+  std::size_t waited_for = 0;
+  std::size_t all = 0;
+
+  void add(bool waits) {
+    ++all;
+    if (waits) ++waited_for;
+  }
+};
+
+bool unit_waits(const PlanInput& input, const std::string& unit) { return plan_wants(input, unit).demand.waiting > 0; }
+
+/// Loads that room may be made for ahead of the store; without a rate there is no limit.
+std::size_t loads_ahead(const PlanInput& input) {
+  double rate = 0;
+  for (const auto& [name, service] : input.paths.services)
+    if (service.loads_per_s > 0) rate = rate > 0 ? std::min(rate, service.loads_per_s) : service.loads_per_s;
+  if (rate <= 0) return std::numeric_limits<std::size_t>::max();
+  const auto seconds = static_cast<double>(input.bound / made_ahead_part) / milliseconds;
+  return static_cast<std::size_t>(std::max(1.0, std::ceil(rate * seconds)));
+}
+
+bool from_store(const WorkerBook& book, const std::string& model) {
+  return !book_holds(book, model) && !book.had.contains(model);
+}
+
+/// The worker's planned loads that wait for the store: it isn't busy with another load, and answers.
+void add_pending(PendingLoads& pending, const PlanInput& input, const PlannedWorker& worker, const WorkerBook& book) {
+  if (book_stuck(input, book) || (book.order && book.order->order.load)) return;
+  for (const auto& model : worker.models)
+    if (from_store(book, model)) pending.add(unit_waits(input, unit_name(worker.service, model)));
+}
+
+PendingLoads pending_loads(const HolderPlan& plan, const PlanInput& input) {
+  PendingLoads pending;
+  const auto visit = [&](const std::string& identity) {
+    if (input.work != nullptr) ++input.work->workers;
+    const auto worker = plan.workers.find(identity);
+    if (worker != plan.workers.end()) add_pending(pending, input, worker->second, input.books.at(identity));
+  };
+  if (input.open_work == nullptr) {
+    for (const auto& [identity, worker] : plan.workers) visit(identity);
+    return pending;
+  }
+  for (const auto& identity : *input.open_work) visit(identity);
+  for (const auto& identity : plan.touched_workers)
+    if (!input.open_work->contains(identity)) visit(identity);
+  return pending;
+}
+
 void drop(HolderPlan& plan, const std::string& identity, const std::string& unit) {
   plan_leave(plan, identity, unit_model(unit));
 }
 
-bool add_holder(HolderPlan& plan, PlaceSearch& search, const std::string& unit, bool evict, Effects& effects) {
-  const auto place = search.best(unit, evict);
-  if (!place) return false;
+/// The worker that is to hold the unit from now on; none without a place.
+std::optional<std::string> add_holder(HolderPlan& plan, PlaceSearch& search, const std::string& unit, GiveWay give_way,
+                                      Effects& effects) {
+  const auto place = search.best(unit, give_way);
+  if (!place) return std::nullopt;
   for (const auto& victim : place->victims) {
     drop(plan, place->identity, victim);
     if (const auto count = plan.counts.at(victim).count(); count > 0) plan_count(plan, victim, count - 1);
@@ -20,7 +80,7 @@
   }
   plan_hold(plan, place->identity, unit_model(unit));
   search.changed(place->identity);
-  return true;
+  return place->identity;
 }
 
 void drop_holder(HolderPlan& plan, const PlanInput& input, const std::string& unit) {
@@ -77,7 +137,7 @@
   }
   std::ranges::sort(order);
   for (const auto& [quiet, unit] : order)
-    if (add_holder(plan, search, unit, false, effects)) return plan_count(plan, unit, 1);
+    if (add_holder(plan, search, unit, GiveWay::nowhere, effects)) return plan_count(plan, unit, 1);
 }
 
 /// Units whose holders may have to change: those that lack or exceed their count, and those with held requests.
@@ -104,6 +164,8 @@
     while (planned_holders(plan, unit).size() > plan.counts.at(unit).count()) drop_holder(plan, input, unit);
   }
   PlaceSearch search(input, plan);
+  const auto ahead = loads_ahead(input);
+  auto pending = pending_loads(plan, input);
   bool lacks = false;
   // By service, so that one without room doesn't keep the others waiting.
   std::map<std::string, std::size_t> tried;
@@ -112,8 +174,14 @@
       lacks = true;
       continue;
     }
-    while (planned_holders(plan, unit).size() < plan.counts.at(unit).count())
-      if (!add_holder(plan, search, unit, true, effects)) break;
+    const bool waits = unit_waits(input, unit);
+    while (planned_holders(plan, unit).size() < plan.counts.at(unit).count()) {
+      // What gives way is of use until the store can begin the load that takes its room.
+      const bool store_free = (waits ? pending.waited_for : pending.all) < ahead;
+      const auto worker = add_holder(plan, search, unit, store_free ? GiveWay::anywhere : GiveWay::for_disk, effects);
+      if (!worker) break;
+      if (from_store(input.books.at(*worker), unit_model(unit))) pending.add(waits);
+    }
     lacks |= planned_holders(plan, unit).size() < plan.counts.at(unit).count();
   }
   if (!lacks && input.store_spare) fill_free_room(plan, input, search, effects);
--- a/src/core/placement/places.cpp
+++ b/src/core/placement/places.cpp
@@ -142,7 +142,7 @@
   return victims;
 }
 
-std::optional<Place> PlaceSearch::best(const std::string& unit, bool evict) {
+std::optional<Place> PlaceSearch::best(const std::string& unit, GiveWay give_way) {
   const auto& service = *unit_service(input_.paths, unit);
   const auto model = unit_model(unit);
   const auto weights = model_weights(service, model);
@@ -152,6 +152,8 @@
   std::optional<Place> best;
   for (auto& [identity, site] : sites_of(service.name)) {
     if (input_.work != nullptr) ++input_.work->searched;
+    const bool from_disk = site.book->had.contains(model) || book_holds(*site.book, model);
+    const bool evict = give_way == GiveWay::anywhere || (give_way == GiveWay::for_disk && from_disk);
     if (!evict && site.planned_weights + weights > service.room_mb) continue;
     if (site.planned->models.contains(model)) continue;
     const auto victims = victims_at(site, service, weights, taker);
--- a/src/core/placement/places.hpp
+++ b/src/core/placement/places.hpp
@@ -11,12 +11,16 @@
   double cost = 0;
 };
 
+/// Where other models may give way: at no worker, where the model comes from the worker's own disk, or at any.
+enum class GiveWay { nowhere, for_disk, anywhere };
+
 /// The search for places within one turn: what it needs of each worker is gathered once, on the first search.
 class PlaceSearch {
  public:
   explicit PlaceSearch(const PlanInput& input, const HolderPlan& plan) : input_(input), plan_(plan) {}
-  /// The cheapest place for one more holder of the unit; none where no worker has room, or can make room if `evict`.
-  std::optional<Place> best(const std::string& unit, bool evict);
+  /// The cheapest place for one more holder of the unit; none where no worker has room, or can make room
+  /// where others may give way.
+  std::optional<Place> best(const std::string& unit, GiveWay give_way);
   /// The worker is to hold other models than when it was gathered.
   void changed(const std::string& identity);
   /// Megabytes that the service's emptiest worker has free in the plan.
