Metrics: each process tells its own figures at /v1/metrics, in the Prometheus text format

One pure function for each program writes them from its state; the shell counts messages and bytes by kind and tells them as an event, just before such a request. New: `wsctl metrics`, `--metrics-port` (one more listener that tells nothing else; a port that is taken is done without), requests refused at their arrival by status.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -5,6 +5,7 @@
 #include "core/configuration/pathduty.hpp"
 #include "core/configuration/serve.hpp"
 #include "core/json.hpp"
+#include "core/operations/metrics.hpp"
 
 namespace weldsail {
 namespace {
@@ -197,7 +198,10 @@
   if (const auto* request = std::get_if<RequestArrived>(&event)) {
     const Asker asker{request->request, 0, {}};
     const auto* dialect = state.options.dialect;
-    if (const auto call = dialect == nullptr ? std::nullopt : dialect->read_config_call(*request))
+    if (metrics_asked(*request))
+      metrics_answer(
+          *request, [&] { return control_metrics_text(state, now); }, effects);
+    else if (const auto call = dialect == nullptr ? std::nullopt : dialect->read_config_call(*request))
       control_operate(state, asker, path_operation(*call, *request), now, effects);
     else if (!operate_readable(*request))
       operate_refuse(state.member, asker, 400, "malformed", "refused", {}, effects);
@@ -214,6 +218,7 @@
     recover_persisted(state.recover, control_recovery(state, now), *persisted, effects);
   }
   if (std::holds_alternative<Leaving>(event)) on_leave(state, now, effects);
+  if (const auto* observed = std::get_if<TransportObserved>(&event)) state.transport = observed->figures;
   steward_pipe(state.steward, event, now, effects);
   if (state.options.dialect != nullptr) placing_pipe(state.placing, control_placing(state, now), event, effects);
   return effects;
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -81,6 +81,8 @@
   std::deque<CoreJob> core_jobs;
   std::optional<Asker> core_under_way;
   PipeNumbers numbers;
+  /// As the shell told it last.
+  TransportFigures transport;
   std::uint64_t random = 0;
   Moment leave_due = 0;
 };
--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -5,6 +5,7 @@
 #include "core/configuration/fetch.hpp"
 #include "core/configuration/serve.hpp"
 #include "core/forwarding/paths/path.hpp"
+#include "core/operations/metrics.hpp"
 
 namespace weldsail {
 namespace {
@@ -101,6 +102,11 @@
 }
 
 void on_request(DataState& state, const RequestArrived& event, Moment now, Effects& effects) {
+  // What comes by host and path at the callers' own door may be any path.
+  const bool callers_own = state.options.dialect != nullptr && event.door == 0;
+  if (!callers_own && metrics_asked(event))
+    return metrics_answer(
+        event, [&] { return data_metrics_text(state, now); }, effects);
   if (state.options.dialect != nullptr && (event.door == 0 || !operate_path(event.path)))
     return path_take(state, event, now, effects);
   if (!operate_path(event.path)) {
@@ -207,6 +213,7 @@
     path_gone(state, gone->request, now, effects);
   }
   if (std::holds_alternative<Leaving>(event)) on_leave(state, now, effects);
+  if (const auto* observed = std::get_if<TransportObserved>(&event)) state.transport = observed->figures;
   if (const auto heard = watch_pipe(state.watch, event, effects)) {
     state.running_at_status[*heard] = state.running[*heard];
     dispatch(state, now, effects);
--- a/src/core/data.hpp
+++ b/src/core/data.hpp
@@ -67,6 +67,8 @@
   std::uint64_t generated_tokens = 0;
   Latencies first_token;
   Latencies inter_token;
+  /// When something was counted last.
+  Moment counted = 0;
 };
 
 /// Requests of one unit or call service that wait for a worker.
@@ -121,6 +123,8 @@
   std::map<std::string, PrefixMemory> prefixes;
   std::map<std::string, std::map<std::string, CarryCounter>> counters;
   Totals totals;
+  /// As the shell told it last.
+  TransportFigures transport;
   Moment next_report = 0;
   Moment leave_due = 0;
   std::uint64_t random = 0;
@@ -162,9 +166,10 @@
 const WorkerView* assign_worker(const DataState& state, const Carry& carry, Moment now);
 /// Prompt tokens that the worker would have to compute.
 std::uint64_t missed_tokens(const DataState& state, const Carry& carry, const std::string& worker);
-/// Sends counters and backlogs to whom they are for.
-void report_counters(const DataState& state, std::uint64_t node, const std::string& address, std::uint64_t round,
-                     Moment now, Effects& effects);
+/// Sends counters and backlogs to whom they are for. Counters of units and workers that have left are dropped with a
+/// report that tells counters.
+void report_counters(DataState& state, std::uint64_t node, const std::string& address, std::uint64_t round, Moment now,
+                     Effects& effects);
 void report_tick(DataState& state, Moment now, Effects& effects);
 /// Gives a request its final answer, as its ledger's move says.
 void carry_end(DataState& state, const Carry& carry, Move move, Effects& effects);
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/traffic.hpp"
 #include "state.pb.h"
 #include "wire.pb.h"
 
@@ -35,6 +36,9 @@
 struct MessageArrived {
   wire::Envelope envelope;
 };
+/// Number of the listener that is there for figures alone.
+inline constexpr int metrics_door = 2;
+
 /// A caller's or operator's whole request.
 struct RequestArrived {
   std::uint64_t request;
@@ -86,8 +90,13 @@
 /// The process was told that its settings have changed.
 struct SettingsChanged {};
 
+/// What the shell counts of connections, told before a request for the process's figures.
+struct TransportObserved {
+  TransportFigures figures;
+};
+
 /// Everything that can happen to a process.
 using Event = std::variant<Started, Ticked, MessageArrived, RequestArrived, RequestGone, PipeHead, PipeBytes, PipeEnded,
-                           Persisted, Leaving, SettingsChanged>;
+                           Persisted, Leaving, SettingsChanged, TransportObserved>;
 
 }  // namespace weldsail
--- a/src/core/forwarding/paths/state.hpp
+++ b/src/core/forwarding/paths/state.hpp
@@ -21,6 +21,8 @@
   std::map<std::string, UnitUse> units;
   std::map<std::string, std::map<std::string, UnitCounter>> counters;
   std::map<std::string, std::uint64_t> outcomes;
+  /// Requests that were answered when they came, without being taken up, by status.
+  std::map<int, std::uint64_t> refusals;
   Moment next_watch = 0;
   Moment last_busy = 0;
   /// When this node leaves: until then it takes requests that may outlast it.
--- a/src/core/forwarding/paths/take.cpp
+++ b/src/core/forwarding/paths/take.cpp
@@ -41,13 +41,18 @@
   effects.push_back(Answer{request, status, std::move(headers), {}});
 }
 
+void refuse(DataState& state, std::uint64_t request, int status, Moment retry_after, Effects& effects) {
+  ++state.path.refusals[status];
+  answer_plain(request, status, retry_after, effects);
+}
+
 // A node that starts knows within a moment what is in force: sooner than a refused caller would be back.
 void hold_early(DataState& state, const RequestArrived& event, Moment now, Effects& effects) {
   const auto call = state.options.dialect->read_call(event);
-  if (!call) return answer_plain(event.request, 400, 0, effects);
+  if (!call) return refuse(state, event.request, 400, 0, effects);
   const auto wait = std::min(call->wait > 0 ? call->wait : state.options.member.bound, state.options.member.bound);
   const bool full = state.path.early.size() >= state.options.backlog_limit || state.member.leaving;
-  if (full) return answer_plain(event.request, 503, state.options.member.bound / early_parts, effects);
+  if (full) return refuse(state, event.request, 503, state.options.member.bound / early_parts, effects);
   state.path.early[event.request] = {now + wait * 2 / early_parts, event};
 }
 
@@ -61,7 +66,7 @@
     if (known)
       path_take(state, held.second, now, effects);
     else if (now >= held.first)
-      answer_plain(request, 503, state.options.member.bound / early_parts, effects);
+      refuse(state, request, 503, state.options.member.bound / early_parts, effects);
     else
       state.path.early[request] = std::move(held);
   }
@@ -102,14 +107,14 @@
   if (!path.config || !path.fleet.known) return hold_early(state, event, now, effects);
   PathCarry carry;
   auto call = state.options.dialect->read_call(event);
-  if (!call) return answer_plain(event.request, 400, 0, effects);
+  if (!call) return refuse(state, event.request, 400, 0, effects);
   carry.call = std::move(*call);
   carry.path = event.path;
   const bool placed = path_place(state, carry);
   if (!placed || event.body.size() > path.config->limits.body_bytes) {
     // A configuration that is known to be newer than the one here may have the route, or take the body.
-    if (!configuration_newer_known(state)) return answer_plain(event.request, placed ? 413 : 404, 0, effects);
-    return answer_plain(event.request, 503, state.options.member.bound / early_parts, effects);
+    if (!configuration_newer_known(state)) return refuse(state, event.request, placed ? 413 : 404, 0, effects);
+    return refuse(state, event.request, 503, state.options.member.bound / early_parts, effects);
   }
   carry.request = event.request;
   carry.method = event.method;
@@ -119,7 +124,7 @@
   carry.due = now + std::min(carry.route.due, carry.call.wait > 0 ? carry.call.wait : carry.route.due);
   if (path_outlasts(state, carry, now)) {
     ++state.totals.not_run;
-    return answer_plain(event.request, 503, state.options.member.bound / elsewhere_parts, effects);
+    return refuse(state, event.request, 503, state.options.member.bound / elsewhere_parts, effects);
   }
   carry.chain = part_chain(carry.call);
   carry.reader.last = carry.call.last_event;
--- /dev/null
+++ b/src/core/operations/datametrics.cpp
@@ -0,0 +1,84 @@
+#include <algorithm>
+
+#include "core/operations/metrics.hpp"
+
+namespace weldsail {
+namespace {
+
+void write_outcomes(MetricsText& text, const DataState& state) {
+  const auto& totals = state.totals;
+  text.counter("requests_ended_total", "Callers' requests that have ended, by outcome.");
+  text.sample(totals.finished, {{"outcome", "finished"}}).sample(totals.not_run, {{"outcome", "not_run"}});
+  text.sample(totals.unknown, {{"outcome", "unknown"}}).sample(totals.gone, {{"outcome", "caller_gone"}});
+  text.counter("streams_broken_total", "Begun streams that ended before their end.").sample(totals.streams_broken);
+  text.counter("retries_total", "Requests that went to another worker once more.").sample(totals.retries);
+  text.counter("requests_given_up_total", "Requests by host and path that ended without an answer, by reason.");
+  for (const auto& [reason, count] : state.path.outcomes)
+    if (reason != "finished") text.sample(count, {{"reason", reason}});
+  text.counter("requests_refused_total", "Requests by host and path that were refused when they came, by status.");
+  for (const auto& [status, count] : state.path.refusals) text.sample(count, {{"status", std::to_string(status)}});
+  text.counter("attempt_breakdowns_total", "Attempts at workers that failed, by reason.");
+  for (const auto& [reason, count] : totals.breakdowns) text.sample(count, {{"reason", reason}});
+  text.counter("prompt_tokens_total", "Tokens of prompts.").sample(totals.prompt_tokens);
+  text.counter("prompt_hit_tokens_total", "Those that the worker was expected to remember.").sample(totals.hit_tokens);
+}
+
+void write_requests(MetricsText& text, const DataState& state) {
+  std::uint64_t waiting = state.path.waiting.size();
+  for (const auto& [name, pool] : state.pools) waiting += pool.waiting.size();
+  std::uint64_t early_bytes = 0;
+  for (const auto& [request, held] : state.path.early) early_bytes += held.second.body.size();
+  std::uint64_t held_bytes = state.hold.bytes;
+  for (const auto& [request, carry] : state.path.carries) held_bytes += carry.body.size() + carry.answer.size();
+  text.gauge("requests_open", "Requests in hand.").sample(state.carries.size() + state.path.carries.size());
+  text.gauge("requests_waiting", "Those of them that wait for a worker.").sample(waiting);
+  text.gauge("requests_early", "Requests that wait for this node's first configuration.");
+  text.sample(state.path.early.size());
+  text.gauge("attempts_open", "Attempts at workers that are under way.");
+  text.sample(state.pipes.size() + state.path.pipes.size());
+  text.gauge("request_bytes", "Memory of requests in hand, with the answers that wait for their end.");
+  text.sample(held_bytes + early_bytes);
+}
+
+void write_workers(MetricsText& text, const DataState& state, Moment now) {
+  const auto& fleet = state.path.fleet;
+  const auto usable = std::ranges::count_if(
+      state.watch.views, [&](const auto& item) { return worker_usable(state.watch, item.second, now); });
+  const auto draining = std::ranges::count_if(fleet.workers, &wire::WorkerEntry::draining);
+  text.gauge("workers", "Workers that this node knows, by state.");
+  text.sample(static_cast<std::uint64_t>(usable) + fleet.workers.size() - static_cast<std::uint64_t>(draining),
+              {{"state", "usable"}});
+  text.sample(state.watch.views.size() - static_cast<std::uint64_t>(usable), {{"state", "unusable"}});
+  text.sample(static_cast<std::uint64_t>(draining), {{"state", "draining"}});
+  text.gauge("placement_version", "Version of the placement known here.").sample(state.placement_version);
+  if (!fleet.known) return;
+  text.gauge("fleet_view_version", "Version of the view of all workers.").sample(fleet.version);
+  text.gauge("fleet_view_behind", "1 while a newer view was heard of.").sample(fleet.behind ? 1 : 0);
+  text.gauge("fleet_view_age_seconds", "Age of what the view says.").seconds(now - fleet.as_of);
+}
+
+void write_counters(MetricsText& text, const DataState& state) {
+  std::uint64_t kept = 0;
+  for (const auto& [unit, workers] : state.counters) kept += workers.size();
+  for (const auto& [unit, workers] : state.path.counters) kept += workers.size();
+  text.gauge("counters_kept", "Pairs of a model and a worker whose counters go into each report.").sample(kept);
+  text.gauge("operations_forwarded", "Operators' requests that another process is to answer.");
+  text.sample(state.operate.forwarded.size());
+  text.gauge("memo_version", "Version of the configuration on this node's own disk.").sample(state.memo.version);
+}
+
+}  // namespace
+
+std::string data_metrics_text(const DataState& state, Moment now) {
+  MetricsText text;
+  write_process_metrics(text, state.member, state.transport);
+  const auto revision = state.path.config ? state.path.config->revision : 0;
+  write_delivery_metrics(text, state.news, state.document_version, revision, now);
+  write_outcomes(text, state);
+  write_requests(text, state);
+  write_workers(text, state, now);
+  write_counters(text, state);
+  return text.text();
+}
+
+}  // namespace weldsail
--- a/src/core/operations/operate.cpp
+++ b/src/core/operations/operate.cpp
@@ -48,8 +48,8 @@
 }
 
 bool operate_path(const std::string& path) {
-  static constexpr const char* roots[] = {"/v1/config", "/v1/members", "/v1/workers", "/v1/placements",
-                                          "/v1/holds",  "/v1/status",  "/v1/drain",   "/v1/core"};
+  static constexpr const char* roots[] = {"/v1/config", "/v1/members", "/v1/workers", "/v1/placements", "/v1/holds",
+                                          "/v1/status", "/v1/drain",   "/v1/core",    metrics_path};
   return std::ranges::any_of(roots,
                              [&](const std::string& root) { return path == root || path.starts_with(root + "/"); });
 }
@@ -60,6 +60,14 @@
   return path.starts_with("/v1/config") ? config_key : placement_key;
 }
 
+bool metrics_asked(const RequestArrived& event) { return event.path == metrics_path || event.door == metrics_door; }
+
+void metrics_answer(const RequestArrived& event, const std::function<std::string()>& text, Effects& effects) {
+  if (event.path != metrics_path) return effects.push_back(Answer{event.request, 404, {}, {}});
+  if (event.method != "GET") return effects.push_back(Answer{event.request, 405, {{"allow", "GET"}}, {}});
+  effects.push_back(Answer{event.request, 200, {{"content-type", metrics_type}}, text()});
+}
+
 std::string operate_unheard(const wire::Operate& operation) {
   const bool changes = operation.path() == "/v1/config" || operation.path() == "/v1/config/change";
   return changes && operation.method() != "GET" ? "unknown" : "refused";
--- a/src/core/operations/operate.hpp
+++ b/src/core/operations/operate.hpp
@@ -1,4 +1,6 @@
 #pragma once
+#include <functional>
+
 #include "core/configuration/config.hpp"
 #include "core/consensus/duty.hpp"
 
@@ -32,6 +34,10 @@
 /// Longest wait for the configuration's owner, in milliseconds: with a tick to spare less than a third of the bound,
 /// after which operators go on to another node by themselves.
 inline Moment operate_config_patience(Moment bound) { return bound * 3 / 10; }
+/// Where every process tells its figures for monitoring, and the type of that text.
+inline constexpr const char* metrics_path = "/v1/metrics";
+inline constexpr const char* metrics_type = "text/plain; version=0.0.4; charset=utf-8";
+
 /// True for a path that operators use.
 bool operate_path(const std::string& path);
 /// The key whose owner answers a path, or nothing when any node does.
@@ -46,6 +52,10 @@
 /// Answers with an error document; `outcome` is refused, unknown or not_run.
 void operate_refuse(const MemberState& member, const Asker& asker, int status, const std::string& code,
                     const std::string& outcome, const std::string& change, Effects& effects);
+/// True for a request that asks for this process's figures, or that came where nothing else is answered.
+bool metrics_asked(const RequestArrived& event);
+/// Answers it; `text` makes the figures, and is only called when they are wanted.
+void metrics_answer(const RequestArrived& event, const std::function<std::string()>& text, Effects& effects);
 /// Outcome of an operation that this process couldn't look at. A change is never refused by it: an earlier sending of
 /// the same one may have been taken.
 std::string operate_unheard(const wire::Operate& operation);
--- a/src/core/placement/command.hpp
+++ b/src/core/placement/command.hpp
@@ -19,6 +19,8 @@
   std::vector<std::string> aborted;
   std::uint64_t sent = 0;
   std::uint64_t reports = 0;
+  /// Answers to asks for reports that were longer than what is read of one.
+  std::uint64_t reports_too_large = 0;
 };
 
 /// What a word to a worker is made from.
--- a/src/core/placement/listing.hpp
+++ b/src/core/placement/listing.hpp
@@ -18,7 +18,11 @@
   std::string body;
   std::string path;
   std::size_t pages = 0;
+  /// Bytes of the list so far, all pages together.
+  std::size_t bytes = 0;
   std::size_t failures = 0;
+  /// Pages that were longer than what is read of one, and lists that were longer than what is kept.
+  std::uint64_t too_large = 0;
   Moment begun = 0;
   std::vector<wire::WorkerEntry> gathered;
   /// The last whole list, sorted by identity, and the moment at which its first page was asked for.
--- /dev/null
+++ b/src/core/traffic.cpp
@@ -0,0 +1,36 @@
+#include "core/traffic.hpp"
+
+#include "wire.pb.h"
+
+namespace weldsail {
+
+const char* message_kind_name(int kind) {
+  using Envelope = wire::Envelope;
+  switch (kind) {
+    case Envelope::kPing: return "ping";
+    case Envelope::kPrepare: return "prepare";
+    case Envelope::kPromise: return "promise";
+    case Envelope::kAccept: return "accept";
+    case Envelope::kAccepted: return "accepted";
+    case Envelope::kCheck: return "check";
+    case Envelope::kChecked: return "checked";
+    case Envelope::kForm: return "form";
+    case Envelope::kNewsAsk: return "news_ask";
+    case Envelope::kNews: return "news";
+    case Envelope::kOperate: return "operate";
+    case Envelope::kOperated: return "operated";
+    case Envelope::kCounterAsk: return "counter_ask";
+    case Envelope::kCounterReport: return "counter_report";
+    case Envelope::kClaim: return "claim";
+    case Envelope::kClaimed: return "claimed";
+    case Envelope::kCopyAsk: return "copy_ask";
+    case Envelope::kCopyAnswer: return "copy_answer";
+    case Envelope::kFleet: return "fleet";
+    case Envelope::kFleetAsk: return "fleet_ask";
+    case Envelope::kValueAsk: return "value_ask";
+    case Envelope::kValuePart: return "value_part";
+    default: return "other";
+  }
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/traffic.hpp
@@ -0,0 +1,42 @@
+#pragma once
+#include <cstdint>
+#include <map>
+
+namespace weldsail {
+
+/// Messages of one kind that went one way.
+struct KindTraffic {
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;
+};
+
+/// Traffic by the number of the body's field in the envelope.
+using TrafficByKind = std::map<int, KindTraffic>;
+
+/// What the shell counts of a process's connections, from the start of the process.
+struct TransportFigures {
+  TrafficByKind sent;
+  TrafficByKind received;
+  /// Messages that weren't sent, for want of a connection or of room in its queue.
+  std::uint64_t messages_dropped = 0;
+  /// Connections to other processes, and the bytes that wait for them: all together, and at the longest queue.
+  std::uint64_t links = 0;
+  std::uint64_t queued_bytes = 0;
+  std::uint64_t longest_queue_bytes = 0;
+  /// Open connections of callers and operators.
+  std::uint64_t caller_connections = 0;
+  /// Events that wait for the reducer.
+  std::uint64_t waiting_events = 0;
+};
+
+/// Counts one message.
+inline void count_message(TrafficByKind& traffic, int kind, std::uint64_t bytes) {
+  auto& counted = traffic[kind];
+  ++counted.messages;
+  counted.bytes += bytes;
+}
+
+/// Name of the kind of a message by the number of its body's field; "other" where it isn't known.
+const char* message_kind_name(int kind);
+
+}  // namespace weldsail
--- a/src/shell/commonflags.cpp
+++ b/src/shell/commonflags.cpp
@@ -10,6 +10,8 @@
   chosen.member.seeds = options_list(flags.seeds.getValue());
   chosen.member.bound = flags.bound.getValue();
   chosen.place.folder = flags.folder.getValue();
+  if (const auto port = flags.metrics.getValue(); port != 0)
+    chosen.place.metrics = chosen.place.callers.substr(0, chosen.place.callers.rfind(':')) + ":" + std::to_string(port);
   chosen.log_file = flags.log_file.getValue();
   chosen.log_level = flags.log_level.getValue();
   return chosen;
@@ -23,6 +25,7 @@
   check("--peers", chosen.place.peers);
   check("--callers", chosen.place.callers);
   for (const auto& seed : chosen.member.seeds) check("--seeds", seed);
+  if (!chosen.place.metrics.empty()) check("--metrics-port", chosen.place.metrics);
   if (chosen.member.locality.empty()) faults.emplace_back("--locality: is missing");
   if (chosen.member.bound < 300 || chosen.member.bound > 60000)
     faults.emplace_back("--bound-ms: must be from 300 to 60000");
--- a/src/shell/commonflags.hpp
+++ b/src/shell/commonflags.hpp
@@ -21,6 +21,8 @@
         seeds("", "seeds", "peer addresses of three other processes", true, "", "list", line),
         folder("", "folder", "data folder on this machine's disk", false, "", "path", line),
         bound("", "bound-ms", "time within which a breakdown is acted on", false, 3000, "ms", line),
+        metrics("", "metrics-port", "port where only the process's figures are told; 0 for none", false, 0, "port",
+                line),
         log_file("", "log-file", "log here, not on standard error", false, "", "path", line),
         log_level("", "log-level", "debug, info, warn or error", false, "info", "level", line) {}
   TCLAP::ValueArg<std::string> options;
@@ -30,6 +32,7 @@
   TCLAP::ValueArg<std::string> seeds;
   TCLAP::ValueArg<std::string> folder;
   TCLAP::ValueArg<std::int64_t> bound;
+  TCLAP::ValueArg<std::uint32_t> metrics;
   TCLAP::ValueArg<std::string> log_file;
   TCLAP::ValueArg<std::string> log_level;
 };
--- a/src/shell/messenger.cpp
+++ b/src/shell/messenger.cpp
@@ -92,10 +92,17 @@
 
 void Messenger::send(const std::string& address, const wire::Envelope& envelope) {
   auto* link = link_to(address);
-  if (link == nullptr) return;
+  if (link == nullptr) {
+    ++dropped_;
+    return;
+  }
   const auto size = envelope.ByteSizeLong();
   auto& queued = link->queued;
-  if (size > frame_most || (queued.size() > frame_greeting.size() && queued.size() + size > queue_most)) return;
+  if (size > frame_most || (queued.size() > frame_greeting.size() && queued.size() + size > queue_most)) {
+    ++dropped_;
+    return;
+  }
+  count_message(sent_, envelope.body_case(), size);
   queued += frame_head(link->framing, address, size);
   const auto place = queued.size();
   queued.resize(place + size);
@@ -193,6 +200,7 @@
     const auto& [begin, length] = **frame;
     if (!envelope.ParseFromArray(bytes.data() + begin, static_cast<int>(length))) return false;
     bytes.remove_prefix(begin + length);
+    count_message(received_, envelope.body_case(), length);
     if (inbound.framing == Framing::requests)
       ::send(h2o_socket_get_fd(inbound.socket), frame_answer.data(), frame_answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     arrived.emit(envelope);
@@ -201,6 +209,18 @@
   return true;
 }
 
+void Messenger::observe(TransportFigures& figures) const {
+  figures.sent = sent_;
+  figures.received = received_;
+  figures.messages_dropped = dropped_;
+  figures.links = links_.size();
+  for (const auto& [address, link] : links_) {
+    const auto waiting = link->queued.size() + link->sending.size();
+    figures.queued_bytes += waiting;
+    figures.longest_queue_bytes = std::max<std::uint64_t>(figures.longest_queue_bytes, waiting);
+  }
+}
+
 void Messenger::sweep(std::int64_t now) {
   if (now < next_sweep_) return;
   next_sweep_ = now + sweep_pause;
--- a/src/shell/messenger.hpp
+++ b/src/shell/messenger.hpp
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 
+#include "core/traffic.hpp"
 #include "shell/address.hpp"
 #include "shell/frame.hpp"
 #include "shell/loop.hpp"
@@ -26,6 +27,8 @@
   void flush();
   /// Drops connections that stall or have been idle for long.
   void sweep(std::int64_t now);
+  /// Adds what was sent and received so far, and what waits.
+  void observe(TransportFigures& figures) const;
   /// Ends all connections and stops listening.
   void close();
   sigc::signal<void(wire::Envelope&)> arrived;
@@ -51,6 +54,9 @@
   std::map<std::string, std::int64_t> former_;
   std::int64_t next_sweep_ = 0;
   bool unwritten_ = false;
+  TrafficByKind sent_;
+  TrafficByKind received_;
+  std::uint64_t dropped_ = 0;
 };
 
 }  // namespace weldsail
--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -54,6 +54,10 @@
   if (const auto listening = callers_.listen(place_.callers); !listening) return listening.error();
   if (!place_.aside.empty())
     if (const auto listening = callers_.listen(place_.aside, aside_door); !listening) return listening.error();
+  if (!place_.metrics.empty())
+    // The process does without: the port is nobody's by right, and nothing else depends on it.
+    if (const auto listening = callers_.listen(place_.metrics, metrics_door); !listening)
+      log_note({"metrics.unavailable", {{"address", place_.metrics}, {"cause", listening.error().message()}}, true});
   messenger_.arrived.connect([this](wire::Envelope& envelope) { put(MessageArrived{std::move(envelope)}); });
   callers_.arrived.connect([this](const RequestArrived& request) { put(request); });
   callers_.gone.connect([this](std::uint64_t request) { put(RequestGone{request}); });
@@ -132,10 +136,21 @@
 
 template <typename State>
 void Node<State>::take(const Event& event) {
+  const auto* request = std::get_if<RequestArrived>(&event);
+  if (request != nullptr && request->path == metrics_path) reduce(state_, observe(), monotonic_now());
   auto effects = reduce(state_, event, monotonic_now());
   for (auto& effect : effects) carry_out(effect);
 }
 
+template <typename State>
+TransportObserved Node<State>::observe() const {
+  TransportObserved observed;
+  messenger_.observe(observed.figures);
+  observed.figures.caller_connections = callers_.open_pipes();
+  observed.figures.waiting_events = events_.size() + later_.size();
+  return observed;
+}
+
 template <typename State>
 void Node<State>::send(const SendMessage& effect) {
   if (effect.address == place_.peers) {
--- a/src/shell/node.hpp
+++ b/src/shell/node.hpp
@@ -19,6 +19,8 @@
   Moment tick = 25;
   /// A second address for callers, whose requests come through door 1; may be empty.
   std::string aside = {};
+  /// An address where only the process's figures are told; may be empty.
+  std::string metrics = {};
 };
 
 /// Runs a program's reducer: events in, effects out.
@@ -37,6 +39,8 @@
   /// Takes all urgent events, then others for a bounded time.
   void take_turn();
   void take(const Event& event);
+  /// Tells the program what only the shell counts.
+  TransportObserved observe() const;
   void carry_out(Effect& effect);
   void send(const SendMessage& effect);
   /// Lets a departing process end its connections in order, and its answers be written.
--- a/test/unit/runbooks.cpp
+++ b/test/unit/runbooks.cpp
@@ -135,6 +135,11 @@
     CAPTURE(words, answers);
     CHECK(answers.size() == 1);
   }
+  for (const auto& node : nodes) {
+    const auto told = wsctl(fleet, {"metrics", "--node", node});
+    CHECK(told.code == 0);
+    CHECK(told.text.starts_with("# HELP weldsail_process_info "));
+  }
   for (const auto* flag : {"--help", "--version"}) CHECK(wsctl(fleet, {flag}).code == 0);
   CHECK(wsctl(fleet, {"status", "--node", "127.0.0.1:1"}).code == 5);
 }
