--- a/src/core/configuration/news.cpp
+++ b/src/core/configuration/news.cpp
@@ -27,6 +27,12 @@
   return found != member.others.end() && found->second.entry.program() == static_cast<std::uint32_t>(Program::data);
 }
 
+/// The version of a value that an asker has; 0 where it names none.
+std::uint64_t asker_version(const wire::NewsAsk& ask, const std::string& key) {
+  const auto found = std::ranges::find(ask.known(), key, &wire::Known::key);
+  return found == ask.known().end() ? 0 : found->version();
+}
+
 bool answer_news(NewsState& state, const MemberState& member, const wire::Core& core, const wire::Envelope& ask,
                  Moment now, Effects& effects) {
   auto envelope = member_envelope(member, ask.from());
@@ -34,10 +40,8 @@
   const bool data = !state.control_only.empty() && is_data(member, ask.from());
   for (const auto& [key, value] : state.values) {
     if (data && state.control_only.contains(key)) continue;
-    std::uint64_t has = 0;
-    for (const auto& item : ask.news_ask().known())
-      if (item.key() == key) has = item.version();
-    if (value.version() > has) serve_value(state, value, ask.news_ask().takes_parts(), *news);
+    if (value.version() > asker_version(ask.news_ask(), key))
+      serve_value(state, value, ask.news_ask().takes_parts(), *news);
   }
   const bool stranger = ask.cluster() == 0 && core.formed();
   if (news->values_size() + news->offers_size() == 0 && !stranger) return false;
@@ -136,8 +140,12 @@
   auto answer = member_envelope(member, envelope.from());
   auto* news = answer.mutable_news();
   const bool data = !state.control_only.empty() && is_data(member, envelope.from());
-  for (const auto& [key, value] : state.values)
-    if (!data || !state.control_only.contains(key)) serve_value(state, value, envelope.news_ask().takes_parts(), *news);
+  for (const auto& [key, value] : state.values) {
+    if (data && state.control_only.contains(key)) continue;
+    // What the asker names it has; former releases are sent all, as ever.
+    const bool has = envelope.news_ask().takes_parts() && asker_version(envelope.news_ask(), key) >= value.version();
+    if (!has) serve_value(state, value, envelope.news_ask().takes_parts(), *news);
+  }
   for (const auto& [key, copy] : acceptor.copies) {
     auto* item = news->add_accepted();
     item->set_key(key);
--- a/src/core/configuration/news.hpp
+++ b/src/core/configuration/news.hpp
@@ -60,7 +60,7 @@
 void news_answered(NewsState& state, const MemberState& member, const wire::Envelope& envelope, Moment now);
 /// Asks every core node what it has accepted, until a starting node knows enough.
 void news_ask_all(const NewsState& state, const MemberState& member, const wire::Core& core, Effects& effects);
-/// Answers a starting node with all values and with what this disk has accepted.
+/// Answers a starting node with the values that it doesn't name as known, and with what this disk has accepted.
 void news_answer_first(NewsState& state, const AcceptorState& acceptor, const MemberState& member,
                        const wire::Core& core, const wire::Envelope& envelope, Moment now, Effects& effects);
 /// Answers an ask at once: with news, or with the age of the last proof alone; the ask then waits for news.
--- a/src/core/forwarding/paths/call.hpp
+++ b/src/core/forwarding/paths/call.hpp
@@ -99,6 +99,8 @@
   std::uint64_t generated_tokens = 0;
   Latencies first_event;
   Latencies between_events;
+  /// When something was counted last.
+  Moment counted = 0;
 };
 
 /// True while a try is open.
--- a/src/core/forwarding/paths/carry.cpp
+++ b/src/core/forwarding/paths/carry.cpp
@@ -9,8 +9,10 @@
   return carry.route.kind == RouteKind::call ? carry.cell + "/" + carry.route.service : carry.cell;
 }
 
-CarryCounter& counter_of(DataState& state, const Carry& carry) {
-  return state.counters[carry.pool][carry.ledger.attempts.back().worker];
+CarryCounter& counter_of(DataState& state, const Carry& carry, Moment now) {
+  auto& counter = state.counters[carry.pool][carry.ledger.attempts.back().worker];
+  counter.counted = now;
+  return counter;
 }
 
 void stop_running(DataState& state, Carry& carry, Moment now) {
@@ -59,7 +61,7 @@
       end_attempt(state, carry, AttemptPhase::whole, "final", false, now, effects);
       return;
     }
-    auto& counter = counter_of(state, carry);
+    auto& counter = counter_of(state, carry, now);
     counter.generated_tokens += event.tokens;
     if (carry.last_piece == 0)
       counter.first_token.add(static_cast<double>(now - carry.ledger.attempts.back().begun));
@@ -123,7 +125,7 @@
     const auto missed = missed_tokens(state, carry, view.address);
     state.totals.prompt_tokens += carry.prompt_tokens;
     state.totals.hit_tokens += carry.prompt_tokens - missed;
-    counter_of(state, carry).missed_tokens += missed;
+    counter_of(state, carry, now).missed_tokens += missed;
     prefix_remember(state.prefixes[view.address], carry.blocks);
   }
   effects.push_back(OpenPipe{pipe, view.address, "POST", "/v1/run", std::move(headers), carry.body, call,
--- a/src/core/forwarding/paths/move.cpp
+++ b/src/core/forwarding/paths/move.cpp
@@ -59,7 +59,7 @@
     item.missed_tokens = parts_missed(track.parts, carry.call, carry.chain);
     parts_remember(track.parts, carry.chain);
     track.unread_tokens += item.missed_tokens;
-    path.counters[carry.unit][worker.identity()].missed_tokens += item.missed_tokens;
+    path_counter(state, carry.unit, worker.identity(), now).missed_tokens += item.missed_tokens;
     auto& use = path.units[carry.unit];
     ++use.running;
     use.last_used = now;
--- a/src/core/forwarding/paths/path.hpp
+++ b/src/core/forwarding/paths/path.hpp
@@ -52,9 +52,12 @@
 void path_refuse(DataState& state, PathCarry& carry, int status, const char* reason, Moment now, Effects& effects);
 /// Ends a request whose outcome isn't known, or whose answer can't be finished.
 void path_break(DataState& state, PathCarry& carry, const char* reason, Moment now, Effects& effects);
-/// Sends this node's counters and backlogs; round 0 without counters.
-void path_report(const DataState& state, std::uint64_t node, const std::string& address, std::uint64_t round,
-                 Moment now, Effects& effects);
+/// The counters of a unit on a worker, to which something is added now.
+UnitCounter& path_counter(DataState& state, const std::string& unit, const std::string& worker, Moment now);
+/// Sends this node's counters and backlogs; round 0 without counters. Counters of units and workers that have left are
+/// dropped with a report that tells counters: the next ones begin at zero for whoever has this one.
+void path_report(DataState& state, std::uint64_t node, const std::string& address, std::uint64_t round, Moment now,
+                 Effects& effects);
 /// Name under which a model of a service is placed; empty for plain calls.
 std::string path_unit(const std::string& service, const std::string& model);
 /// Data nodes that share what is bounded for all of them.
--- a/src/core/forwarding/paths/pipe.cpp
+++ b/src/core/forwarding/paths/pipe.cpp
@@ -42,7 +42,7 @@
   track.unread_tokens -= std::min(track.unread_tokens, item.missed_tokens);
   item.has_event = true;
   if (!carry.unit.empty())
-    state.path.counters[carry.unit][item.worker].first_event.add(static_cast<double>(now - item.begun));
+    path_counter(state, carry.unit, item.worker, now).first_event.add(static_cast<double>(now - item.begun));
 }
 
 void count_events(DataState& state, PathCarry& carry, const std::string& events, Moment now, Effects& effects) {
@@ -59,11 +59,11 @@
   if (!item.has_event)
     first_event(state, carry, now);
   else if (!carry.unit.empty())
-    state.path.counters[carry.unit][item.worker].between_events.add(static_cast<double>(now - item.last_bytes));
+    path_counter(state, carry.unit, item.worker, now).between_events.add(static_cast<double>(now - item.last_bytes));
   if (carry.unit.empty()) return;
   std::uint64_t count = 0;
   for (auto place = events.find("\n\n"); place != std::string::npos; place = events.find("\n\n", place + 2)) ++count;
-  state.path.counters[carry.unit][item.worker].generated_tokens +=
+  path_counter(state, carry.unit, item.worker, now).generated_tokens +=
       count * state.path.config->services[carry.service].tokens_per_event;
 }
 
--- a/src/core/forwarding/paths/report.cpp
+++ b/src/core/forwarding/paths/report.cpp
@@ -1,12 +1,15 @@
 #include <algorithm>
 
 #include "core/forwarding/paths/path.hpp"
+#include "core/placement/plan.hpp"
 
 namespace weldsail {
 namespace {
 
 constexpr Moment adapter_wanted_bounds = 4;
 constexpr Moment unit_told_bounds = 20;
+/// Counters of what has left are kept for so many bounds after their last request.
+constexpr Moment counters_kept_bounds = 20;
 
 void write_latencies(wire::Histogram& histogram, const Latencies& latencies) {
   for (const auto count : latencies.counts) histogram.add_counts(count);
@@ -36,10 +39,37 @@
   for (const auto& [used, adapter] : adapters) backlog.add_adapters(adapter);
 }
 
+/// Drops counters of workers that aren't there any more and of units that aren't configured, some time after their last
+/// request. Without them the holder sees no work there, as with counters that rest.
+void drop_gone(DataState& state, Moment now) {
+  auto& path = state.path;
+  if (!path.config || !path.fleet.known) return;
+  std::set<std::string> workers;
+  for (const auto& worker : path.fleet.workers) workers.insert(worker.identity());
+  const auto units = path_units(*path.config);
+  const auto rests = [&](Moment last) { return now - last > counters_kept_bounds * state.options.member.bound; };
+  for (auto& [unit, counters] : path.counters)
+    std::erase_if(counters, [&, configured = units.contains(unit)](const auto& item) {
+      return rests(item.second.counted) && !(configured && workers.contains(item.first));
+    });
+  std::erase_if(path.counters, [](const auto& item) { return item.second.empty(); });
+  std::erase_if(path.units, [&](const auto& item) {
+    const auto& use = item.second;
+    return rests(use.last_used) && use.waiting.empty() && use.running == 0 && !units.contains(item.first);
+  });
+}
+
 }  // namespace
 
-void path_report(const DataState& state, std::uint64_t node, const std::string& address, std::uint64_t round,
-                 Moment now, Effects& effects) {
+UnitCounter& path_counter(DataState& state, const std::string& unit, const std::string& worker, Moment now) {
+  auto& counter = state.path.counters[unit][worker];
+  counter.counted = now;
+  return counter;
+}
+
+void path_report(DataState& state, std::uint64_t node, const std::string& address, std::uint64_t round, Moment now,
+                 Effects& effects) {
+  if (round != 0) drop_gone(state, now);
   auto envelope = member_envelope(state.member, node);
   auto* report = envelope.mutable_counter_report();
   report->set_round(round);
--- a/src/core/operations/report.cpp
+++ b/src/core/operations/report.cpp
@@ -8,6 +8,8 @@
 
 constexpr Moment reports_per_bound = 3;
 constexpr Moment adapter_wanted_bounds = 20;
+/// Counters of what has left are kept for so many bounds after their last request.
+constexpr Moment counters_kept_bounds = 20;
 
 void write_histogram(wire::Histogram& histogram, const Latencies& latencies) {
   for (const auto count : latencies.counts) histogram.add_counts(count);
@@ -37,10 +39,24 @@
   for (const auto& [used, adapter] : adapters) backlog.add_adapters(adapter);
 }
 
+/// Drops counters of workers that aren't watched any more and of units that aren't configured, some time after their
+/// last request.
+void drop_gone(DataState& state, Moment now) {
+  if (!state.document) return;
+  const auto units = config_units(*state.document);
+  for (auto& [unit, counters] : state.counters)
+    std::erase_if(counters, [&, configured = units.contains(unit)](const auto& item) {
+      const bool rests = now - item.second.counted > counters_kept_bounds * state.options.member.bound;
+      return rests && !(configured && state.watch.views.contains(item.first));
+    });
+  std::erase_if(state.counters, [](const auto& item) { return item.second.empty(); });
+}
+
 }  // namespace
 
-void report_counters(const DataState& state, std::uint64_t node, const std::string& address, std::uint64_t round,
-                     Moment now, Effects& effects) {
+void report_counters(DataState& state, std::uint64_t node, const std::string& address, std::uint64_t round, Moment now,
+                     Effects& effects) {
+  if (round != 0) drop_gone(state, now);
   auto envelope = member_envelope(state.member, node);
   auto* report = envelope.mutable_counter_report();
   report->set_round(round);
--- a/src/core/placement/command.cpp
+++ b/src/core/placement/command.cpp
@@ -10,6 +10,8 @@
 constexpr Moment reports_due_part = 6;
 constexpr Moment probes_pace_part = 3;
 constexpr Moment adapter_time_part = 50;
+/// Bytes of the longest report that is read.
+constexpr std::size_t report_bytes_most = 1U << 20U;
 
 void open(CommandState& state, WorkerBook& book, OpenPipe pipe, const CommandContext& context, Effects& effects) {
   pipe.pipe = book.pipe = context.numbers.take();
@@ -40,6 +42,15 @@
   }));
 }
 
+/// Takes bytes of an answer; false when the answer is a report that is too long. What an order's answer says beside its
+/// status isn't read.
+bool take_bytes(WorkerBook& book, const std::string& bytes) {
+  if (book.pipe_orders) return true;
+  if (book.body.size() + bytes.size() > report_bytes_most) return false;
+  book.body += bytes;
+  return true;
+}
+
 /// Looks after one book; true when its order has ended without a report.
 bool watch(CommandState& state, WorkerBook& book, const CommandContext& context, Effects& effects) {
   if (book.pipe != 0) return false;
@@ -152,14 +163,19 @@
   if (found == state.pipes.end()) return std::nullopt;
   auto& book = state.books.at(found->second);
   if (const auto* head = std::get_if<PipeHead>(&event)) book.answer = head->status;
-  if (const auto* bytes = std::get_if<PipeBytes>(&event)) book.body += bytes->bytes;
+  const auto* bytes = std::get_if<PipeBytes>(&event);
   const auto* ended = std::get_if<PipeEnded>(&event);
-  if (ended == nullptr) return std::nullopt;
+  const bool too_large = bytes != nullptr && !take_bytes(book, bytes->bytes);
+  if (ended == nullptr && !too_large) return std::nullopt;
   const auto identity = found->second;
+  if (too_large) {
+    ++state.reports_too_large;
+    effects.push_back(CancelPipe{number});
+  }
   state.pipes.erase(found);
   book.pipe = 0;
   state.watched.insert(identity);
-  if (!ended->whole && !book.pipe_orders) book.answer = 0;
+  if (!book.pipe_orders && (too_large || !ended->whole)) book.answer = 0;
   if (book.pipe_orders)
     command_order_answered(state, book, *ended, context, effects);
   else
--- a/src/core/placement/listing.cpp
+++ b/src/core/placement/listing.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::size_t page_bytes_most = 8U << 20U;
 constexpr std::size_t pages_most = 1000;
+/// Bytes of all pages of one list.
+constexpr std::size_t list_bytes_most = 4 * page_bytes_most;
 constexpr std::size_t doublings_most = 2;
 /// Failures are counted up to here.
 constexpr std::size_t doublings_in_all = 16;
@@ -35,6 +37,21 @@
   state.next_ask = std::max(state.next_ask, now + wait);
 }
 
+/// Takes bytes of a page. One that is too long is read no further: it is refused, counted, and the last list is kept.
+void take_bytes(ListState& state, const std::string& bytes, Moment now, Effects& effects) {
+  state.bytes += bytes.size();
+  if (state.body.size() + bytes.size() <= page_bytes_most && state.bytes <= list_bytes_most) {
+    state.body += bytes;
+    return;
+  }
+  effects.push_back(CancelPipe{state.pipe});
+  state.pipe = 0;
+  state.body.clear();
+  state.gathered.clear();
+  ++state.too_large;
+  fail(state, "too_large", now, effects);
+}
+
 Moment read_seconds(const std::string& text) {
   double seconds = 0;
   std::from_chars(text.data(), text.data() + text.size(), seconds);
@@ -61,6 +78,7 @@
   if (limits.list_address.empty() || state.pipe != 0 || now < state.next_ask) return;
   state.path = dialect.list_path;
   state.pages = 0;
+  state.bytes = 0;
   state.gathered.clear();
   state.begun = now;
   state.next_ask = now + state.pace;
@@ -75,8 +93,10 @@
     for (const auto& header : head->headers)
       if (header.name == "retry-after") state.retry_after = read_seconds(header.value);
   }
-  if (const auto* bytes = std::get_if<PipeBytes>(&event); bytes != nullptr && bytes->pipe == state.pipe)
-    if (state.body.size() <= page_bytes_most) state.body += bytes->bytes;
+  if (const auto* bytes = std::get_if<PipeBytes>(&event); bytes != nullptr && bytes->pipe == state.pipe) {
+    take_bytes(state, bytes->bytes, now, effects);
+    return false;
+  }
   const auto* ended = std::get_if<PipeEnded>(&event);
   if (ended == nullptr || ended->pipe != state.pipe) return false;
   state.pipe = 0;
--- a/src/core/placement/worker.cpp
+++ b/src/core/placement/worker.cpp
@@ -16,7 +16,7 @@
 }
 
 void take_status(WorkerView& view, Moment now, Effects& effects) {
-  auto status = view.answer == 200 && view.body.size() <= status_limit ? read_worker_status(view.body) : std::nullopt;
+  auto status = view.answer == 200 ? read_worker_status(view.body) : std::nullopt;
   if (!status) return;
   if (!view.status || view.status->instance != status->instance)
     note(effects, "worker.instance",
@@ -28,6 +28,15 @@
   view.broken_since_heard = 0;
 }
 
+/// A status document that is too long is read no further; the worker counts as one that hasn't answered.
+void refuse_status(WorkerWatch& watch, WorkerView& view, Effects& effects) {
+  effects.push_back(CancelPipe{view.pipe});
+  watch.pipes.erase(view.pipe);
+  view.pipe = 0;
+  view.body.clear();
+  ++watch.too_large;
+}
+
 }  // namespace
 
 const char* phase_name(WorkerPhase phase) {
@@ -107,8 +116,12 @@
   if (const auto* head = std::get_if<PipeHead>(&event))
     if (auto* view = find(head->pipe)) view->answer = head->status;
   if (const auto* bytes = std::get_if<PipeBytes>(&event))
-    if (auto* view = find(bytes->pipe); view != nullptr && view->body.size() <= status_limit)
-      view->body += bytes->bytes;
+    if (auto* view = find(bytes->pipe); view != nullptr) {
+      if (view->body.size() + bytes->bytes.size() > status_limit)
+        refuse_status(watch, *view, effects);
+      else
+        view->body += bytes->bytes;
+    }
   if (const auto* ended = std::get_if<PipeEnded>(&event))
     if (auto* view = find(ended->pipe)) {
       if (!ended->sent && ended->reason != past_due_reason) view->refused = view->asked;
--- a/src/core/placement/worker.hpp
+++ b/src/core/placement/worker.hpp
@@ -52,6 +52,8 @@
   Moment bound = 3000;
   std::map<std::string, WorkerView> views;
   std::map<std::uint64_t, std::string> pipes;
+  /// Status documents that were longer than what is read of one.
+  std::uint64_t too_large = 0;
 };
 
 /// Source of pipe numbers of one process.
--- a/src/core/placement/workerlist.cpp
+++ b/src/core/placement/workerlist.cpp
@@ -29,6 +29,16 @@
   return true;
 }
 
+/// A list that is too long is read no further; the last one stays in use.
+bool refuse(PlatformState& state, Effects& effects) {
+  effects.push_back(CancelPipe{state.pipe});
+  state.pipe = 0;
+  state.body.clear();
+  ++state.too_large;
+  note(effects, "platform.too_large", {{"limit", std::to_string(list_limit)}}, true);
+  return false;
+}
+
 }  // namespace
 
 void platform_tick(PlatformState& state, PipeNumbers& numbers, Moment now, Effects& effects) {
@@ -51,8 +61,10 @@
         state.retry_after = std::clamp<Moment>(seconds, 0, 3600) * 1000;
       }
   }
-  if (const auto* bytes = std::get_if<PipeBytes>(&event); bytes != nullptr && bytes->pipe == state.pipe)
-    if (state.body.size() <= list_limit) state.body += bytes->bytes;
+  if (const auto* bytes = std::get_if<PipeBytes>(&event); bytes != nullptr && bytes->pipe == state.pipe) {
+    if (state.body.size() + bytes->bytes.size() > list_limit) return refuse(state, effects);
+    state.body += bytes->bytes;
+  }
   const auto* ended = std::get_if<PipeEnded>(&event);
   if (ended == nullptr || ended->pipe != state.pipe || state.pipe == 0) return false;
   state.pipe = 0;
--- a/src/core/placement/workerlist.hpp
+++ b/src/core/placement/workerlist.hpp
@@ -12,6 +12,8 @@
   int answer = 0;
   Moment retry_after = 0;
   std::string body;
+  /// Lists that were longer than what is read of one.
+  std::uint64_t too_large = 0;
   std::map<std::string, std::string> services;
   bool known = false;
 };
--- /dev/null
+++ b/test/unit/unknownroutes.cpp
@@ -0,0 +1,135 @@
+#include "core/configuration/fetch.hpp"
+#include "unit/pathbench.hpp"
+
+/// What a data node answers to a request that the configuration here has no place for, at each moment of its life. The
+/// users' rules: 404 for what all configurations of the day allow counts from any machine, in touch or not, and who
+/// knows no configuration yet answers 503 (DENIED); in touch, nothing is refused any more that a version acknowledged
+/// for longer than the bound allows (CONFIG). A node that is cut off and has heard of nothing newer may answer 404.
+using namespace weldsail;
+using namespace weldsail::unit;
+
+namespace {
+
+RequestArrived request_to(const std::string& path, std::uint64_t number, std::size_t body = 0) {
+  RequestArrived event;
+  event.request = number;
+  event.method = "POST";
+  event.path = event.target = path;
+  event.authority = "h";
+  event.headers = {{"x-trial-id", "t" + std::to_string(number)}, {"x-deadline-ms", "1000"}};
+  event.body = std::string(body, 'x');
+  return event;
+}
+
+/// One data node, told of time and of what is committed only.
+struct Life {
+  explicit Life(DataState initial) : state(std::move(initial)) {}
+
+  /// The status of the answer that comes within the caller's time; 0 where the request went to a worker.
+  int status(const std::string& path, std::size_t body = 0) {
+    const auto number = next++;
+    auto effects = reduce(state, request_to(path, number, body), now);
+    for (const auto until = now + 1500; now < until; now += 25) {
+      for (const auto& effect : effects) {
+        if (const auto* answer = std::get_if<Answer>(&effect); answer != nullptr && answer->request == number) {
+          const bool returns = answer->status != 503 || !header_value(answer->headers, "retry-after").empty();
+          CHECK(returns);
+          return answer->status;
+        }
+        if (std::holds_alternative<OpenPipe>(effect)) return 0;
+      }
+      effects = reduce(state, Ticked{next}, now);
+    }
+    return -1;
+  }
+
+  void pass(Moment time) {
+    for (const auto until = now + time; now < until; now += 25) reduce(state, Ticked{1}, now);
+  }
+
+  void hear_of(std::uint64_t version) {
+    wire::Known known;
+    known.set_key(config_key);
+    known.set_version(version);
+    fetch_missing(state.news, known, now);
+  }
+
+  void have(std::uint64_t version) {
+    wire::RegisterValue value;
+    value.set_key(config_key);
+    value.set_version(version);
+    Effects effects;
+    news_learn(state.news, state.member, state.formation.core, value, now, effects);
+  }
+
+  DataState state;
+  Moment now = 10000;
+  std::uint64_t next = 1;
+};
+
+Life begun_life() {
+  PathBench bench;
+  Life life(bench.state);
+  reduce(life.state, Started{1, {}}, life.now);
+  return life;
+}
+
+}  // namespace
+
+TEST_CASE("a node that knows no configuration yet answers 503 to all, and never 404") {
+  Life life(make_data(PathBench::options()));
+  reduce(life.state, Started{1, {}}, life.now);
+  for (int turn = 0; turn < 20; ++turn) {
+    CHECK(life.status("/seat/x") == 503);
+    CHECK(life.status("/none/x") == 503);
+    CHECK(life.status("/none/x", 9U << 20U) == 503);
+    // It may hear that there are versions without getting any of them.
+    if (turn == 5) life.hear_of(3);
+    if (turn == 10) life.pass(60000);
+  }
+}
+
+TEST_CASE("a node that has a configuration and no view of the workers answers 503, and never 404") {
+  auto life = begun_life();
+  life.state.path.fleet = {};
+  CHECK(life.status("/seat/x") == 503);
+  CHECK(life.status("/none/x") == 503);
+}
+
+TEST_CASE("a node in touch answers 404 for what no configuration has, and serves what its own has") {
+  auto life = begun_life();
+  CHECK(life.status("/seat/x") == 0);
+  CHECK(life.status("/none/x") == 404);
+  CHECK(life.status("/seat/x", 9U << 20U) == 413);
+}
+
+TEST_CASE("a node that is behind answers 503 in place of 404 and 413, after half a bound to all") {
+  auto life = begun_life();
+  life.have(2);
+  life.hear_of(3);
+  CHECK(life.status("/seat/x") == 0);
+  CHECK(life.status("/none/x") == 503);
+  CHECK(life.status("/seat/x", 9U << 20U) == 503);
+  life.pass(2000);
+  CHECK(life.status("/seat/x") == 503);
+  CHECK(life.status("/none/x") == 503);
+  // It has caught up: what it doesn't have now is nowhere.
+  life.have(3);
+  CHECK(life.status("/seat/x") == 0);
+  CHECK(life.status("/none/x") == 404);
+}
+
+TEST_CASE("a node that is cut off and has heard of nothing newer never refuses a route that it has") {
+  auto life = begun_life();
+  for (int turn = 0; turn < 10; ++turn) {
+    life.pass(10000);
+    const auto known = life.status("/seat/x");
+    CAPTURE(turn, known);
+    CHECK((known == 0 || known == 503 || known == 504));
+    // The rules allow it: a route that all configurations of the day have, this one has, too.
+    CHECK(life.status("/none/x") == 404);
+  }
+  // As soon as it hears of a newer version, it can't tell any more.
+  life.hear_of(9);
+  CHECK(life.status("/none/x") == 503);
+}
