--- /dev/null
+++ b/src/core/bulk/topic.cpp
@@ -0,0 +1,18 @@
+#include "core/bulk/topic.hpp"
+
+namespace weldsail {
+
+std::string operate_topic(std::uint64_t request) { return "operate " + std::to_string(request); }
+
+MessageTopic message_topic(const wire::Envelope& envelope) {
+  switch (envelope.body_case()) {
+    case wire::Envelope::kAccept: return {"accept " + envelope.accept().key(), !envelope.accept().has_delta()};
+    case wire::Envelope::kPromise: return {"promise " + envelope.promise().key(), true};
+    case wire::Envelope::kCopyAnswer: return {"copies", true};
+    case wire::Envelope::kFleet: return {"fleet", envelope.fleet().base() == 0 && !envelope.fleet().same()};
+    case wire::Envelope::kOperate: return {operate_topic(envelope.operate().request()), false};
+    default: return {};
+  }
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/bulk/window.hpp
@@ -0,0 +1,39 @@
+#pragma once
+#include <cstdint>
+#include <map>
+#include <utility>
+
+#include "core/event.hpp"
+
+namespace weldsail {
+
+/// Bytes of the largest piece of a message; a message up to this size is sent whole and at once.
+inline constexpr std::size_t piece_most = 16U << 10U;
+/// Bytes of pieces and of parts of values that one process has unacknowledged over all its peers: what is put behind
+/// them on its link waits no longer than these bytes take.
+inline constexpr std::size_t window_most = 5 * piece_most;
+/// What pieces of messages may have of it.
+inline constexpr std::size_t pieces_window_most = 3 * piece_most;
+
+/// What a process sends in bulk.
+enum class BulkUse { piece, part };
+
+/// The bulk bytes that each peer hasn't acknowledged yet, by what they are.
+struct SendWindow {
+  struct UnderWay {
+    std::size_t bytes = 0;
+    Moment sent = 0;
+  };
+  std::map<std::pair<BulkUse, std::uint64_t>, UnderWay> peers;
+};
+
+void window_take(SendWindow& window, BulkUse use, std::uint64_t node, std::size_t bytes, Moment now);
+void window_release(SendWindow& window, BulkUse use, std::uint64_t node);
+/// Counts nothing of a use any more that was sent up to the moment.
+void window_expire(SendWindow& window, BulkUse use, Moment sent);
+std::size_t window_bytes(const SendWindow& window);
+std::size_t window_bytes(const SendWindow& window, BulkUse use);
+/// Peers that have something of a use under way.
+std::size_t window_peers(const SendWindow& window, BulkUse use);
+
+}  // namespace weldsail
--- a/src/core/configuration/deliverystate.hpp
+++ b/src/core/configuration/deliverystate.hpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "core/bulk/window.hpp"
 #include "core/delta.hpp"
 #include "core/event.hpp"
 
@@ -12,7 +13,7 @@
 inline constexpr std::size_t inline_most = delta_least;
 /// Bytes of one part, and so all that one fetch has under way at a time: what is put behind it waits no longer than
 /// these bytes take.
-inline constexpr std::size_t part_bytes = 16U << 10U;
+inline constexpr std::size_t part_bytes = piece_most;
 
 /// A process that has offered a value.
 struct ValueSource {
@@ -72,6 +73,8 @@
   /// Links between the newest versions of each key that went through here, without a gap.
   std::map<std::string, std::deque<wire::ValueLink>> links;
   std::deque<ServedContent> served;
+  /// Parts that are being sent, and pieces of large messages.
+  SendWindow window;
   /// Versions of the configuration that are known to be committed and aren't here yet, with when that was heard.
   std::map<std::uint64_t, Moment> missing;
   DeliveryCounters counters;
--- a/src/core/configuration/news.hpp
+++ b/src/core/configuration/news.hpp
@@ -5,6 +5,7 @@
 namespace weldsail {
 
 class JsonText;
+struct BulkState;
 
 /// A control process that is asked for news, as the asker sees it. Times by the asker's clock.
 struct NewsSource {
@@ -38,7 +39,7 @@
 };
 
 /// Writes what the delivery of values has counted into a status document.
-void write_delivery(const NewsState& state, JsonText& text);
+void write_delivery(const NewsState& state, const BulkState& bulk, JsonText& text);
 /// Version of a value here; 0 where there is none.
 std::uint64_t news_version(const NewsState& state, const std::string& key);
 /// Versions that this node has.
--- a/src/core/configuration/serve.cpp
+++ b/src/core/configuration/serve.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/bulk/bulk.hpp"
 #include "core/delta.hpp"
 #include "core/hash.hpp"
 #include "core/json.hpp"
@@ -16,6 +17,22 @@
 /// Contents that are kept; who fetches an older one begins anew.
 constexpr std::size_t served_most = 16;
 
+/// Smallest part, where many ask at once.
+constexpr std::size_t part_least = part_bytes / 16;
+/// A part counts as under way until its asker asks again, or for this part of the bound.
+constexpr Moment parts_per_bound = 30;
+
+/// Askers share the window: each has one ask under way, so what this sends to all of them at once has a bound without
+/// any of them having to wait.
+std::size_t part_length(NewsState& state, std::uint64_t asker, Moment now) {
+  auto& window = state.delivery.window;
+  window_release(window, BulkUse::part, asker);
+  window_expire(window, BulkUse::part, now - state.bound / parts_per_bound);
+  const auto share = window_most / (window_peers(window, BulkUse::part) + 1);
+  const auto room = window_most - std::min(window_most, window_bytes(window));
+  return std::clamp(std::min(share, room), part_least, part_bytes);
+}
+
 /// The links from a version to the newest one; empty when there is no such way.
 wire::ValueChain chain_from(const NewsState& state, const wire::RegisterValue& value, std::uint64_t base_version) {
   wire::ValueChain chain;
@@ -82,7 +99,8 @@
   part->set_base_version(content->base_version);
   part->set_size(content->bytes.size());
   part->set_offset(offset);
-  part->set_bytes(content->bytes.substr(offset, part_bytes));
+  part->set_bytes(content->bytes.substr(offset, part_length(state, envelope.from(), now)));
+  window_take(state.delivery.window, BulkUse::part, envelope.from(), part->bytes().size(), now);
   part->set_value_hash(content->value_hash);
   state.delivery.counters.bytes_sent += part->bytes().size();
   effects.push_back(SendMessage{envelope.address(), std::move(answer)});
@@ -113,14 +131,15 @@
   if (links.empty()) state.delivery.links.erase(value.key());
 }
 
-void write_delivery(const NewsState& state, JsonText& text) {
+void write_delivery(const NewsState& state, const BulkState& bulk, JsonText& text) {
   const auto& counters = state.delivery.counters;
   text.number("configuration_bytes_sent", counters.bytes_sent)
       .number("configuration_bytes_received", counters.bytes_received)
       .number("transfers", counters.fetches)
       .number("transfers_repeated", counters.fetches_restarted)
       .number("parts_repeated", counters.parts_repeated)
-      .number("invariant_violations", counters.violations);
+      .number("invariant_violations", counters.violations + bulk.lane.counters.violations);
+  write_bulk(bulk, text);
 }
 
 void serve_tick(NewsState& state, Moment now) {
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -156,7 +156,7 @@
   prove_as_owner(state);
   currency_tick(state.currency, state.news, state.member, state.formation.core, now, effects);
   news_tick(state.news, state.member, now, effects);
-  operate_tick(state.operate, state.member, now, effects);
+  operate_tick(state.operate, state.bulk, state.member, now, effects);
   config_tick(state.config_duty, state.member, state.formation.core, state.owners[config_key], now, effects);
   give_drain(state, now, effects);
   control_give_core(state, now, effects);
@@ -188,8 +188,9 @@
   if (what == RegisterSignal::lost) on_lost(state, owner, effects);
 }
 
-Effects reduce(ControlState& state, const Event& event, Moment now) {
-  Effects effects;
+namespace {
+
+void take_event(ControlState& state, const Event& event, Moment now, Effects& effects) {
   if (const auto* started = std::get_if<Started>(&event)) on_start(state, *started, now, effects);
   if (const auto* ticked = std::get_if<Ticked>(&event)) on_tick(state, *ticked, now, effects);
   if (const auto* message = std::get_if<MessageArrived>(&event))
@@ -216,6 +217,14 @@
   if (std::holds_alternative<Leaving>(event)) on_leave(state, now, effects);
   steward_pipe(state.steward, event, now, effects);
   if (state.options.dialect != nullptr) placing_pipe(state.placing, control_placing(state, now), event, effects);
+}
+
+}  // namespace
+
+Effects reduce(ControlState& state, const Event& event, Moment now) {
+  Effects effects;
+  take_event(state, event, now, effects);
+  bulk_send(state.bulk, state.news.delivery.window, state.member, now, effects);
   return effects;
 }
 
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "core/bulk/bulk.hpp"
 #include "core/configuration/configduty.hpp"
 #include "core/configuration/currency.hpp"
 #include "core/configuration/news.hpp"
@@ -65,6 +66,7 @@
   DutyState duty;
   DepartureState departure;
   NewsState news;
+  BulkState bulk;
   CurrencyState currency;
   OperateState operate;
   ConfigDutyState config_duty;
--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -55,7 +55,8 @@
 
 bool may_wait(const ControlState& state, const Event& event) {
   if (const auto* message = std::get_if<MessageArrived>(&event))
-    return message->envelope.has_counter_report() || message->envelope.has_fleet_ask();
+    return message->envelope.has_counter_report() || message->envelope.has_fleet_ask() ||
+           message->envelope.bulk_piece().may_wait();
   // What the list says of leaving workers has a bound that all data nodes are held to.
   const auto list = state.placing.list.pipe;
   const auto of_worker = [&](std::uint64_t pipe) { return list == 0 || pipe != list; };
@@ -143,7 +144,7 @@
   }
   if (state.owners[*key].phase != OwnerPhase::holding) {
     if (asker.node == 0)
-      operate_forward(state.operate, state.member, operation, *key, asker.request, now, effects);
+      operate_forward(state.operate, state.bulk, state.member, operation, *key, asker.request, now, effects);
     else
       operate_refuse(state.member, asker, 503, "not_owner", operate_unheard(operation), operation.change(), effects);
     return;
@@ -172,6 +173,8 @@
   if (own != 0 && envelope.cluster() != 0 && own != envelope.cluster()) return;
   if (envelope.to() != 0 && envelope.to() != state.member.self.node()) return;
   duty_heard(state.duty, state.formation.core, envelope.disk(), now);
+  if (const auto whole = bulk_receive(state.bulk, state.news.delivery.window, state.member, envelope, now, effects))
+    return control_message(state, *whole, now, effects);
   if (votes_under_old_core(state, envelope, effects)) return;
   acceptor_receive(state.acceptor, state.member, envelope, now, effects);
   control_take_core(state, effects);
--- a/src/core/controlview.cpp
+++ b/src/core/controlview.cpp
@@ -94,7 +94,7 @@
   text.number("votes", state.vote.votes.size())
       .truth("drained", state.duty.drained.contains(state.member.self.address()));
   text.number("in_hand", state.operate.forwarded.size());
-  write_delivery(state.news, text);
+  write_delivery(state.news, state.bulk, text);
   text.number("orders_sent", state.steward.orders.sent + state.placing.command.sent)
       .truth("leaving", state.departure.deadline.has_value())
       .close();
--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -67,6 +67,8 @@
   const auto own = state.member.self.cluster();
   if (own != 0 && envelope.cluster() != 0 && own != envelope.cluster()) return;
   if (envelope.to() != 0 && envelope.to() != state.member.self.node()) return;
+  if (const auto whole = bulk_receive(state.bulk, state.news.delivery.window, state.member, envelope, now, effects))
+    return on_message(state, *whole, now, effects);
   if (envelope.has_ping()) {
     member_receive(state.member, envelope, news_known(state.news), now, effects);
     news_heard(state.news, state.member, envelope, now, effects);
@@ -112,7 +114,7 @@
   auto operation = operate_read(event, state.random);
   if (operate_local(state.member, operation, data_status_text(state, now), asker, effects)) return;
   const auto key = operate_key(operation.path());
-  operate_forward(state.operate, state.member, std::move(operation), *key, event.request, now, effects);
+  operate_forward(state.operate, state.bulk, state.member, std::move(operation), *key, event.request, now, effects);
 }
 
 void on_tick(DataState& state, const Ticked& event, Moment now, Effects& effects) {
@@ -120,7 +122,7 @@
   const auto known = news_known(state.news);
   member_tick(state.member, known, now, effects);
   news_tick(state.news, state.member, now, effects);
-  operate_tick(state.operate, state.member, now, effects);
+  operate_tick(state.operate, state.bulk, state.member, now, effects);
   watch_tick(state.watch, state.numbers, now, effects);
   ask_first(state, now, effects);
   use_news(state, now, effects);
@@ -185,12 +187,14 @@
   if (options.dialect != nullptr) state.news.control_only = {placement_key};
   state.path.fleet.bound = bound;
   state.path.list.pace = bound / 3;
+  bulk_configure(state.bulk, bound);
   state.memo.bound = state.news.bound = state.operate.bound = state.watch.bound = bound;
   return state;
 }
 
-Effects reduce(DataState& state, const Event& event, Moment now) {
-  Effects effects;
+namespace {
+
+void take_event(DataState& state, const Event& event, Moment now, Effects& effects) {
   if (const auto* started = std::get_if<Started>(&event)) {
     state.random = started->random;
     member_start(state.member, started->random, 0, now);
@@ -212,9 +216,17 @@
     dispatch(state, now, effects);
   }
   carry_pipe(state, event, now, effects);
-  if (state.options.dialect == nullptr) return effects;
+  if (state.options.dialect == nullptr) return;
   path_list(state, event, now, effects);
   path_pipe(state, event, now, effects);
+}
+
+}  // namespace
+
+Effects reduce(DataState& state, const Event& event, Moment now) {
+  Effects effects;
+  take_event(state, event, now, effects);
+  bulk_send(state.bulk, state.news.delivery.window, state.member, now, effects);
   return effects;
 }
 
--- a/src/core/data.hpp
+++ b/src/core/data.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "core/bulk/bulk.hpp"
 #include "core/configuration/memo.hpp"
 #include "core/configuration/news.hpp"
 #include "core/consensus/claim.hpp"
@@ -97,6 +98,7 @@
   MemberState member;
   FormationState formation;
   NewsState news;
+  BulkState bulk;
   MemoState memo;
   OperateState operate;
   PathState path;
--- a/src/core/operations/operate.cpp
+++ b/src/core/operations/operate.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/configuration/config.hpp"
+#include "core/hash.hpp"
 #include "core/json.hpp"
 #include "core/membership/rendezvous.hpp"
 
@@ -114,19 +115,45 @@
   operate_answer(member, asker, status, text.text(), effects);
 }
 
-void operate_forward(OperateState& state, const MemberState& member, wire::Operate operation, const std::string& key,
-                     std::uint64_t request, Moment now, Effects& effects) {
+namespace {
+
+/// What makes two sendings of a large change the same one; empty for anything else.
+std::string change_content(const wire::Operate& operation) {
+  if (operation.method() == "GET" || operation.body().size() < piece_most) return {};
+  auto content = operation;
+  content.clear_request();
+  return sha256(content.SerializeAsString());
+}
+
+/// The operation that carries the same content to the node at the moment.
+ForwardedOperation* find_under_way(OperateState& state, const BulkState& bulk, std::uint64_t node,
+                                   const std::string& content) {
+  for (auto& [identity, forwarded] : state.forwarded)
+    if (!content.empty() && forwarded.content == content && forwarded.node == node &&
+        bulk_carries_operation(bulk, node, identity))
+      return &forwarded;
+  return nullptr;
+}
+
+}  // namespace
+
+void operate_forward(OperateState& state, const BulkState& bulk, const MemberState& member, wire::Operate operation,
+                     const std::string& key, std::uint64_t request, Moment now, Effects& effects) {
   const auto* holder = duty_holder(member, key);
   if (holder == nullptr || holder->node() == member.self.node()) {
     operate_refuse(member, {request, 0, {}}, 503, "no_owner", operate_unheard(operation), operation.change(), effects);
     return;
   }
-  const auto identity = state.next++;
   const auto patience = key == config_key     ? operate_config_patience(state.bound)
                         : state.patience != 0 ? state.patience
                                               : 2 * state.bound;
+  const WaitingRequest waiting{request, now + patience};
+  auto content = change_content(operation);
+  if (auto* same = find_under_way(state, bulk, holder->node(), content)) return same->waiting.push_back(waiting);
   const bool change = operation.method() != "GET";
-  state.forwarded[identity] = {request, holder->node(), now + patience, change ? operation.change() : std::string()};
+  const auto identity = state.next++;
+  state.forwarded[identity] = {
+      {waiting}, holder->node(), change ? operation.change() : std::string(), std::move(content)};
   operation.set_request(identity);
   auto envelope = member_envelope(member, holder->node());
   *envelope.mutable_operate() = std::move(operation);
@@ -140,19 +167,26 @@
   std::vector<Header> headers{{"content-type", "application/json"}};
   if (!answer.version().empty()) headers.push_back({"weldsail-version", answer.version()});
   if (tells_to_retry(answer.status())) headers.push_back({"retry-after", "1"});
-  effects.push_back(
-      Answer{found->second.request, static_cast<int>(answer.status()), std::move(headers), answer.body()});
+  for (const auto& waiting : found->second.waiting)
+    effects.push_back(Answer{waiting.request, static_cast<int>(answer.status()), headers, answer.body()});
   state.forwarded.erase(found);
 }
 
-void operate_tick(OperateState& state, const MemberState& member, Moment now, Effects& effects) {
-  std::erase_if(state.forwarded, [&](const auto& item) {
-    const auto& forwarded = item.second;
-    if (now < forwarded.due && member_live(member, forwarded.node)) return false;
+void operate_tick(OperateState& state, const BulkState& bulk, const MemberState& member, Moment now, Effects& effects) {
+  for (auto& [identity, forwarded] : state.forwarded) {
+    const bool live = member_live(member, forwarded.node);
     const bool change = !forwarded.change.empty();
-    operate_refuse(member, {forwarded.request, 0, {}}, change ? 504 : 503, "no_answer", change ? "unknown" : "refused",
-                   forwarded.change, effects);
-    return true;
+    std::erase_if(forwarded.waiting, [&](const WaitingRequest& waiting) {
+      if (now < waiting.due && live) return false;
+      operate_refuse(member, {waiting.request, 0, {}}, change ? 504 : 503, "no_answer", change ? "unknown" : "refused",
+                     forwarded.change, effects);
+      return true;
+    });
+  }
+  std::erase_if(state.forwarded, [&](const auto& item) {
+    const auto node = item.second.node;
+    const bool under_way = member_live(member, node) && bulk_carries_operation(bulk, node, item.first);
+    return item.second.waiting.empty() && !under_way;
   });
 }
 
--- a/src/core/operations/operate.hpp
+++ b/src/core/operations/operate.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "core/bulk/bulk.hpp"
 #include "core/configuration/config.hpp"
 #include "core/consensus/duty.hpp"
 
@@ -11,13 +12,21 @@
   std::string address;
 };
 
-/// An operator's request that another node answers.
-struct ForwardedOperation {
+/// An operator's request that waits for another node's answer.
+struct WaitingRequest {
   std::uint64_t request = 0;
+  Moment due = 0;
+};
+
+/// An operation that another node answers.
+struct ForwardedOperation {
+  /// Who waits for the answer: the first to ask, and those who sent the same change again while it was under way.
+  std::vector<WaitingRequest> waiting;
   /// The node that was asked.
   std::uint64_t node = 0;
-  Moment due = 0;
   std::string change;
+  /// SHA-256 of a change's content, by which a repeat is recognised; empty for what is small or no change.
+  std::string content;
 };
 
 /// The operator part: the same on every node.
@@ -51,11 +60,13 @@
 std::string operate_unheard(const wire::Operate& operation);
 /// A document of faults; without any it says that all is valid.
 std::string operate_faults(const std::vector<Fault>& faults, const std::string& change);
-/// Carries an operation to the key's holder.
-void operate_forward(OperateState& state, const MemberState& member, wire::Operate operation, const std::string& key,
-                     std::uint64_t request, Moment now, Effects& effects);
+/// Carries an operation to the key's holder. A change whose body is under way to it already isn't sent again: its
+/// answer is for both.
+void operate_forward(OperateState& state, const BulkState& bulk, const MemberState& member, wire::Operate operation,
+                     const std::string& key, std::uint64_t request, Moment now, Effects& effects);
 void operate_answered(OperateState& state, const wire::Envelope& envelope, Effects& effects);
-void operate_tick(OperateState& state, const MemberState& member, Moment now, Effects& effects);
+/// Answers whose time is over. An operation is known for as long as its body is under way, though nobody waits.
+void operate_tick(OperateState& state, const BulkState& bulk, const MemberState& member, Moment now, Effects& effects);
 /// Answers what any node can by itself; false when the path is for an owner.
 bool operate_local(const MemberState& member, const wire::Operate& operation, const std::string& status_text,
                    const Asker& asker, Effects& effects);
--- a/src/core/operations/report.cpp
+++ b/src/core/operations/report.cpp
@@ -88,7 +88,7 @@
   text.truth("memo", state.memo.enabled)
       .number("memo_version", state.memo.version)
       .truth("memo_late", memo_late(state.memo, now));
-  write_delivery(state.news, text);
+  write_delivery(state.news, state.bulk, text);
   text.key("breakdowns").object();
   for (const auto& [reason, count] : totals.breakdowns) text.number(reason.c_str(), count);
   text.close();
--- a/src/shell/messenger.cpp
+++ b/src/shell/messenger.cpp
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr std::size_t queue_most = 8U << 20U;
+/// Bytes that may wait on all connections together. Large messages leave the last eighth to small ones.
+constexpr std::size_t sum_most = 4 * queue_most;
+constexpr std::size_t large_sum_most = sum_most - sum_most / 8;
+constexpr std::size_t small_most = 16U << 10U;
 constexpr std::size_t queue_kept = 16U << 10U;
 constexpr std::size_t inbound_most = 1024;
 constexpr std::int64_t stalled_most = 3000;
@@ -86,20 +90,30 @@
     slot->framing = Framing::requests;
   else
     slot->queued = frame_greeting;
+  waiting_ += slot->queued.size();
   socket->data = slot.get();
   return slot.get();
 }
 
+bool Messenger::has_room(const Link& link, std::size_t size) const {
+  if (size > frame_most) return false;
+  const auto queued = link.queued.size();
+  if (queued > frame_greeting.size() && queued + size > queue_most) return false;
+  return waiting_ == 0 || waiting_ + size <= (size > small_most ? large_sum_most : sum_most);
+}
+
 void Messenger::send(const std::string& address, const wire::Envelope& envelope) {
   auto* link = link_to(address);
   if (link == nullptr) return;
   const auto size = envelope.ByteSizeLong();
   auto& queued = link->queued;
-  if (size > frame_most || (queued.size() > frame_greeting.size() && queued.size() + size > queue_most)) return;
+  if (!has_room(*link, size)) return;
+  const auto before = queued.size();
   queued += frame_head(link->framing, address, size);
   const auto place = queued.size();
   queued.resize(place + size);
   envelope.SerializeWithCachedSizesToArray(reinterpret_cast<std::uint8_t*>(queued.data() + place));
+  waiting_ += queued.size() - before;
   unwritten_ = true;
 }
 
@@ -118,6 +132,7 @@
 
 void Messenger::drop(Link& link) {
   h2o_socket_close(link.socket);
+  waiting_ -= link.queued.size() + link.sending.size();
   links_.erase(std::string(link.address));
 }
 
@@ -138,6 +153,7 @@
     link.owner->drop(link);
     return;
   }
+  link.owner->waiting_ -= link.sending.size();
   link.sending.clear();
   if (link.sending.capacity() > queue_kept) link.sending.shrink_to_fit();
   link.owner->write(link);
--- a/src/shell/messenger.hpp
+++ b/src/shell/messenger.hpp
@@ -20,8 +20,10 @@
   ~Messenger();
   /// Listens on "host:port"; port 0 takes a free one.
   Outcome<std::string> listen(const std::string& address);
-  /// Puts a message behind those for the same address.
+  /// Puts a message behind those for the same address, unless too much waits there or on all connections together.
   void send(const std::string& address, const wire::Envelope& envelope);
+  /// Bytes that wait on all connections together.
+  std::size_t waiting_bytes() const { return waiting_; }
   /// Writes what was put since the last time.
   void flush();
   /// Drops connections that stall or have been idle for long.
@@ -38,6 +40,8 @@
   static void on_connect(h2o_socket_t* socket, const char* error);
   static void on_written(h2o_socket_t* socket, const char* error);
   static void on_echo(h2o_socket_t* socket, const char* error);
+  /// True where a message of the size may join a link's queue.
+  bool has_room(const Link& link, std::size_t size) const;
   Link* link_to(const std::string& address);
   void write(Link& link);
   void drop(Link& link);
@@ -51,6 +55,7 @@
   std::map<std::string, std::int64_t> former_;
   std::int64_t next_sweep_ = 0;
   bool unwritten_ = false;
+  std::size_t waiting_ = 0;
 };
 
 }  // namespace weldsail
--- a/test/sim/messagekind.cpp
+++ b/test/sim/messagekind.cpp
@@ -5,6 +5,10 @@
 namespace weldsail::sim {
 
 std::string message_kind(wire::Envelope::BodyCase body) {
+  if (body == wire::Envelope::kValueAsk) return "value_ask";
+  if (body == wire::Envelope::kValuePart) return "value_part";
+  if (body == wire::Envelope::kBulkPiece) return "bulk_piece";
+  if (body == wire::Envelope::kBulkAcknowledged) return "bulk_acknowledged";
   static constexpr const char* names[] = {"ping",    "prepare",  "promise",     "accept",         "accepted",
                                           "check",   "checked",  "form",        "news_ask",       "news",
                                           "operate", "operated", "counter_ask", "counter_report", "claim",
@@ -25,7 +29,8 @@
     case wire::Envelope::kClaim:
     case wire::Envelope::kClaimed:
     case wire::Envelope::kFleet:
-    case wire::Envelope::kFleetAsk: return false;
+    case wire::Envelope::kFleetAsk:
+    case wire::Envelope::kBulkAcknowledged: return false;
     default: return true;
   }
 }
--- a/test/sim/worldio.cpp
+++ b/test/sim/worldio.cpp
@@ -5,10 +5,19 @@
 namespace weldsail::sim {
 namespace {
 
-std::string former_shape(const std::string& bytes) {
+/// Release of the messages that the former landing spoke, before values were fetched in parts.
+constexpr std::uint32_t former_release = 1;
+
+/// What is left of a message where one end speaks the former landing's; a former sender tells its own release.
+std::string former_shape(const std::string& bytes, bool former_sender) {
   former::Envelope envelope;
   envelope.ParseFromString(bytes);
   envelope.DiscardUnknownFields();
+  if (former_sender) envelope.set_release(former_release);
+  if (former_sender && envelope.has_ping()) {
+    for (auto& member : *envelope.mutable_ping()->mutable_members())
+      if (member.node() == envelope.from()) member.set_release(former_release);
+  }
   return envelope.SerializeAsString();
 }
 
@@ -25,7 +34,7 @@
   const auto from = node.address;
   const auto delay = own ? 0 : chance.between(0, delay_most);
   auto bytes = effect.envelope.SerializeAsString();
-  if (node.former || nodes_.at(effect.address).former) bytes = former_shape(bytes);
+  if (node.former || nodes_.at(effect.address).former) bytes = former_shape(bytes, node.former);
   const auto taken = [this, from, to = effect.address, body, bytes] { receive(from, to, body, bytes); };
   if (leaves == now_)
     at(now_ + delay, taken);
--- a/test/unit/messages.cpp
+++ b/test/unit/messages.cpp
@@ -94,6 +94,40 @@
   close(silent->descriptor);
 }
 
+TEST_CASE("what waits for many processes that don't read is bounded in sum, large messages dropped first") {
+  constexpr std::size_t sum_most = 32U << 20U;
+  constexpr std::size_t megabyte = 1U << 20U;
+  Loop loop;
+  End from(loop);
+  std::vector<Listening> silent;
+  for (int count = 0; count < 12; ++count) silent.push_back(*listen_on("127.0.0.1:0"));
+  for (int turn = 0; turn < 7; ++turn)
+    for (const auto& listener : silent) from.messenger.send(listener.address, numbered(1, megabyte));
+  const auto filled = from.messenger.waiting_bytes();
+  CHECK(filled <= sum_most);
+  CHECK(filled >= sum_most / 2);
+  // There is room for small messages still, but for no large one.
+  from.messenger.send(silent.back().address, numbered(2, megabyte));
+  CHECK(from.messenger.waiting_bytes() == filled);
+  from.messenger.send(silent.back().address, numbered(2));
+  CHECK(from.messenger.waiting_bytes() > filled);
+  for (int turn = 0; turn < 3000; ++turn) from.messenger.send(silent.back().address, numbered(2, 10U << 10U));
+  CHECK(from.messenger.waiting_bytes() <= sum_most);
+  // What is dropped isn't counted any more.
+  from.messenger.flush();
+  loop.step(10);
+  from.messenger.sweep(monotonic_now() + 60000);
+  loop.step(10);
+  CHECK(from.messenger.waiting_bytes() == 0);
+  End to(loop);
+  const auto address = *to.messenger.listen("127.0.0.1:0");
+  from.messenger.send(address, numbered(3, large));
+  from.messenger.flush();
+  REQUIRE(pump(loop, [&] { return to.numbers == std::vector<std::uint64_t>{3}; }));
+  CHECK(from.messenger.waiting_bytes() == 0);
+  for (const auto& listener : silent) close(listener.descriptor);
+}
+
 TEST_CASE("what isn't a message ends the connection and nothing else") {
   Loop loop;
   End to(loop);
