--- a/test/unit/bulk.cpp
+++ b/test/unit/bulk.cpp
@@ -123,12 +123,13 @@
 
 TEST_CASE("small messages don't wait for large ones", "[bulk]") {
   auto bench = three(1);
-  bench.delay_most = 0;
   bench.send("a", "b", large);
   bench.send("a", "b", 10);
-  bench.run_until(bench.now + 2);
+  bench.run_until(bench.now + 2 * bench.delay_most);
   CHECK(bench.small_taken == std::vector<std::uint64_t>{2});
-  CHECK(!bench.resting());
+  CHECK(bench.processes.at("b").taken.empty());
+  bench.run_until(bench.now + 5000);
+  CHECK(bench.delivered());
 }
 
 TEST_CASE("what is sent to many peers stays within the window, and each has its turn", "[bulk]") {
--- a/test/unit/delivery.cpp
+++ b/test/unit/delivery.cpp
@@ -109,6 +109,23 @@
   }
 }
 
+TEST_CASE("a large document goes once to each of many data nodes, whose fetches wait for nobody", "[delivery]") {
+  auto plan = plan_of(1, true);
+  plan.controls = 5;
+  plan.datas = 89;
+  plan.small_changes = 0;
+  DeliveryWorld delivery(1, plan);
+  delivery.run();
+  check_faults(delivery);
+  check_data_links(delivery);
+  const auto bytes = most_of(delivery.traffic[DeliveryPhase::large].configuration_to_data);
+  CAPTURE(delivery.document_bytes, bytes, delivery.front_most_at, delivery.large_acknowledged, delivery.large_in_force);
+  CHECK(bytes <= delivery.document_bytes * 5 / 4 + 64 * kibibyte);
+  CHECK(delivery.front_most <= 128 * kibibyte);
+  for (const auto& address : delivery.datas)
+    CHECK(delivery.world.data(address)->news.delivery.counters.parts_repeated == 0);
+}
+
 TEST_CASE("a large document goes to a data node twice at most when messages or a source are lost", "[delivery]") {
   const auto links = GENERATE(false, true);
   for (std::uint64_t seed = 1; seed <= 2 * seeds; ++seed) {
