--- a/src/core/configuration/serve.cpp
+++ b/src/core/configuration/serve.cpp
@@ -18,7 +18,9 @@
 constexpr std::size_t served_most = 16;
 
 /// Smallest part, where many ask at once.
-constexpr std::size_t part_least = part_bytes / 16;
+constexpr std::size_t part_least = part_bytes / 4;
+/// Bytes of parts, with pieces of messages, that may be under way before parts shrink to that.
+constexpr std::size_t parts_window_most = 6 * part_bytes;
 /// A part counts as under way until its asker asks again, or for this part of the bound.
 constexpr Moment parts_per_bound = 30;
 
@@ -28,8 +30,8 @@
   auto& window = state.delivery.window;
   window_release(window, BulkUse::part, asker);
   window_expire(window, BulkUse::part, now - state.bound / parts_per_bound);
-  const auto share = window_most / (window_peers(window, BulkUse::part) + 1);
-  const auto room = window_most - std::min(window_most, window_bytes(window));
+  const auto share = parts_window_most / (window_peers(window, BulkUse::part) + 1);
+  const auto room = parts_window_most - std::min(parts_window_most, window_bytes(window));
   return std::clamp(std::min(share, room), part_least, part_bytes);
 }
 
