--- a/src/core/configuration/deliverystate.hpp
+++ b/src/core/configuration/deliverystate.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "core/bulk/window.hpp"
 #include "core/delta.hpp"
 #include "core/event.hpp"
 
@@ -13,7 +14,7 @@
 inline constexpr std::size_t inline_most = delta_least;
 /// Bytes of one part, and so all that one fetch has under way at a time: what is put behind it waits no longer than
 /// these bytes take.
-inline constexpr std::size_t part_bytes = 16U << 10U;
+inline constexpr std::size_t part_bytes = piece_most;
 
 /// A process that has offered a value.
 struct ValueSource {
@@ -80,6 +81,8 @@
   std::map<std::string, Fetch> fetches;
   std::map<std::string, LinkHistory> links;
   std::deque<ServedContent> served;
+  /// Parts that are being sent, and pieces of large messages.
+  SendWindow window;
   /// Versions of the configuration that are known to be committed and aren't here yet, with when that was heard.
   std::map<std::uint64_t, Moment> missing;
   DeliveryCounters counters;
--- a/src/core/operations/commonmetrics.cpp
+++ b/src/core/operations/commonmetrics.cpp
@@ -52,8 +52,9 @@
   text.gauge("fetch_size_bytes", "Bytes of the whole of it; 0 before the first part.");
   for (const auto& [key, fetch] : delivery.fetches) text.sample(fetch.size, {{"key", key}});
   std::uint64_t kept = 0;
-  for (const auto& content : delivery.served) kept += content.bytes.size();
-  text.gauge("served_content_bytes", "Memory of values that others are fetching here.").sample(kept);
+  for (const auto& content : delivery.served) kept += content.own_bytes ? content.own_bytes->size() : 0;
+  text.gauge("served_content_bytes", "Memory of chains and superseded values that others are fetching here.")
+      .sample(kept);
 }
 
 void write_transfers(MetricsText& text, const DeliveryCounters& counters) {
--- a/src/core/traffic.cpp
+++ b/src/core/traffic.cpp
@@ -29,6 +29,8 @@
     case Envelope::kFleetAsk: return "fleet_ask";
     case Envelope::kValueAsk: return "value_ask";
     case Envelope::kValuePart: return "value_part";
+    case Envelope::kBulkPiece: return "bulk_piece";
+    case Envelope::kBulkAcknowledged: return "bulk_acknowledged";
     default: return "other";
   }
 }
