Pipe events: the request is looked up once, not by assignments within conditions

Behaviour is meant to be as it was. Tests not run since: the build of the test programs hadn't ended.

--- a/src/core/forwarding/paths/carry.cpp
+++ b/src/core/forwarding/paths/carry.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "core/data.hpp"
+#include "core/forwarding/pipeevent.hpp"
 
 namespace weldsail {
 namespace {
@@ -78,6 +79,7 @@
 
 void take_end(DataState& state, Carry& carry, const PipeEnded& event, Moment now, Effects& effects) {
   const bool call = carry.route.kind == RouteKind::call;
+  const bool answered = call ? carry.status != 0 : carry.status >= 400 && carry.status < 500;
   auto phase = AttemptPhase::broken;
   auto reason = event.reason.empty() ? std::string("ended early") : event.reason;
   if (event.whole && carry.refused) {
@@ -85,9 +87,7 @@
     reason = "refused " + std::to_string(carry.status);
   } else if (!event.sent) {
     phase = AttemptPhase::unsent;
-  } else if (event.whole && call && carry.status != 0) {
-    phase = AttemptPhase::whole;
-  } else if (event.whole && !call && carry.status >= 400 && carry.status < 500) {
+  } else if (event.whole && answered) {
     phase = AttemptPhase::whole;
   }
   end_attempt(state, carry, phase, reason, false, now, effects);
@@ -194,30 +194,27 @@
 }
 
 void carry_pipe(DataState& state, const Event& event, Moment now, Effects& effects) {
-  const auto find = [&](std::uint64_t pipe) -> Carry* {
-    const auto found = state.pipes.find(pipe);
-    return found == state.pipes.end() ? nullptr : &state.carries.at(found->second);
-  };
-  Carry* carry = nullptr;
-  if (const auto* head = std::get_if<PipeHead>(&event); head != nullptr && (carry = find(head->pipe)) != nullptr) {
-    carry->status = head->status;
-    carry->refused = head->status >= 400 && !header_value(head->headers, "weldsail-not-run").empty();
+  const auto pipe = event_pipe(event);
+  const auto found = pipe ? state.pipes.find(*pipe) : state.pipes.end();
+  if (found == state.pipes.end()) return;
+  auto& carry = state.carries.at(found->second);
+  if (const auto* head = std::get_if<PipeHead>(&event)) {
+    carry.status = head->status;
+    carry.refused = head->status >= 400 && !header_value(head->headers, "weldsail-not-run").empty();
     for (const auto& header : head->headers)
-      if (header.name == "content-type") carry->headers.push_back(header);
+      if (header.name == "content-type") carry.headers.push_back(header);
     return;
   }
-  if (const auto* bytes = std::get_if<PipeBytes>(&event); bytes != nullptr && (carry = find(bytes->pipe)) != nullptr) {
-    carry->last_bytes = now;
-    if (carry->route.kind == RouteKind::call || carry->status != 200)
-      take_answer(state, *carry, bytes->bytes, now, effects);
+  if (const auto* bytes = std::get_if<PipeBytes>(&event)) {
+    carry.last_bytes = now;
+    if (carry.route.kind == RouteKind::call || carry.status != 200)
+      take_answer(state, carry, bytes->bytes, now, effects);
     else
-      take_stream(state, *carry, bytes->bytes, now, effects);
+      take_stream(state, carry, bytes->bytes, now, effects);
   }
-  if (const auto* ended = std::get_if<PipeEnded>(&event); ended != nullptr && (carry = find(ended->pipe)) != nullptr)
-    take_end(state, *carry, *ended, now, effects);
-  if (carry == nullptr) return;
-  const bool runs = ledger_open(carry->ledger);
-  carry_move(state, carry->request, now, effects);
+  if (const auto* ended = std::get_if<PipeEnded>(&event)) take_end(state, carry, *ended, now, effects);
+  const bool runs = ledger_open(carry.ledger);
+  carry_move(state, carry.request, now, effects);
   if (!runs) dispatch(state, now, effects);
 }
 
--- a/src/core/forwarding/paths/pipe.cpp
+++ b/src/core/forwarding/paths/pipe.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "core/forwarding/paths/path.hpp"
+#include "core/forwarding/pipeevent.hpp"
 
 namespace weldsail {
 namespace {
@@ -113,21 +114,15 @@
 }  // namespace
 
 void path_pipe(DataState& state, const Event& event, Moment now, Effects& effects) {
-  const auto find = [&](std::uint64_t pipe) -> PathCarry* {
-    const auto found = state.path.pipes.find(pipe);
-    return found == state.path.pipes.end() ? nullptr : &state.path.carries.at(found->second);
-  };
-  PathCarry* carry = nullptr;
-  if (const auto* head = std::get_if<PipeHead>(&event); head != nullptr && (carry = find(head->pipe)) != nullptr)
-    take_head(state, *carry, *head, now, effects);
-  else if (const auto* bytes = std::get_if<PipeBytes>(&event);
-           bytes != nullptr && (carry = find(bytes->pipe)) != nullptr)
-    take_bytes(state, *carry, *bytes, now, effects);
-  else if (const auto* ended = std::get_if<PipeEnded>(&event);
-           ended != nullptr && (carry = find(ended->pipe)) != nullptr)
-    take_end(state, *carry, *ended, now, effects);
-  if (carry == nullptr || carry_open(*carry)) return;
-  path_move(state, carry->request, now, effects);
+  const auto pipe = event_pipe(event);
+  const auto found = pipe ? state.path.pipes.find(*pipe) : state.path.pipes.end();
+  if (found == state.path.pipes.end()) return;
+  auto& carry = state.path.carries.at(found->second);
+  if (const auto* head = std::get_if<PipeHead>(&event)) take_head(state, carry, *head, now, effects);
+  if (const auto* bytes = std::get_if<PipeBytes>(&event)) take_bytes(state, carry, *bytes, now, effects);
+  if (const auto* ended = std::get_if<PipeEnded>(&event)) take_end(state, carry, *ended, now, effects);
+  if (carry_open(carry)) return;
+  path_move(state, carry.request, now, effects);
 }
 
 }  // namespace weldsail
