Findings of clang-tidy: names of parameters, one copy, one reverse loop, two constructs for clang

Clang 16 needs a deduction guide for Overloaded, and can't make an optional nested struct with default members by emplace() within its class. No behaviour changes.

--- a/src/core/membership/memberview.cpp
+++ b/src/core/membership/memberview.cpp
@@ -59,18 +59,18 @@
   return found != state.others.end() && phase_of(found->second.entry) <= MemberPhase::suspect;
 }
 
-bool member_disk_live(const MemberState& member, std::uint64_t disk) {
-  const auto* entry = find_disk(member, disk);
-  return entry != nullptr && member_live(member, entry->node());
+bool member_disk_live(const MemberState& state, std::uint64_t disk) {
+  const auto* entry = find_disk(state, disk);
+  return entry != nullptr && member_live(state, entry->node());
 }
 
-std::vector<std::uint64_t> member_blank_disks(const MemberState& member, bool& remembered) {
+std::vector<std::uint64_t> member_blank_disks(const MemberState& state, bool& remembered) {
   std::vector<std::uint64_t> disks;
-  for (const auto* entry : live_members(member, Program::control)) {
+  for (const auto* entry : live_members(state, Program::control)) {
     if (entry->cluster() != 0) remembered = true;
     if (entry->disk() != 0) disks.push_back(entry->disk());
   }
-  for (const auto* entry : live_members(member, Program::data))
+  for (const auto* entry : live_members(state, Program::data))
     if (entry->cluster() != 0) remembered = true;
   std::ranges::sort(disks);
   return disks;
--- a/src/core/placement/places.cpp
+++ b/src/core/placement/places.cpp
@@ -62,7 +62,7 @@
 
 const PlaceSearch::Site::Costs& PlaceSearch::costs_of(Site& site, const PathService& service) const {
   if (site.costs) return *site.costs;
-  auto& costs = site.costs.emplace();
+  auto& costs = site.costs.emplace(Site::Costs{});
   costs.room_taken = book_room_taken(*site.book, service);
   for (const auto& resident : site.residents) {
     const auto model = unit_model(resident.unit);
--- a/src/core/placement/scaler.cpp
+++ b/src/core/placement/scaler.cpp
@@ -46,10 +46,11 @@
 
 }  // namespace
 
-void Latencies::add(double value) {
-  const auto place = std::lower_bound(latency_bounds.begin(), latency_bounds.end(), value) - latency_bounds.begin();
+void Latencies::add(double milliseconds) {
+  const auto place =
+      std::lower_bound(latency_bounds.begin(), latency_bounds.end(), milliseconds) - latency_bounds.begin();
   ++counts[static_cast<std::size_t>(place)];
-  sum += value;
+  sum += milliseconds;
   ++count;
 }
 
--- a/src/shell/disk.cpp
+++ b/src/shell/disk.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <memory>
+#include <utility>
 
 namespace weldsail {
 
@@ -13,8 +14,8 @@
   bool kept = false;
 };
 
-Disk::Disk(Loop& loop, const std::string& folder, FileOperations files)
-    : folder_(folder), file_(std::move(files)), to_thread_{-1, -1}, to_loop_{-1, -1}, loop_(loop) {}
+Disk::Disk(Loop& loop, std::string folder, FileOperations files)
+    : folder_(std::move(folder)), file_(std::move(files)), to_thread_{-1, -1}, to_loop_{-1, -1}, loop_(loop) {}
 
 Disk::~Disk() {
   if (!thread_.joinable()) return;
--- a/src/shell/disk.hpp
+++ b/src/shell/disk.hpp
@@ -61,7 +61,7 @@
 /// The thread has one group at a time. What comes meanwhile waits here, the newest record of each name only.
 class Disk {
  public:
-  Disk(Loop& loop, const std::string& folder, FileOperations files = system_file_operations());
+  Disk(Loop& loop, std::string folder, FileOperations files = system_file_operations());
   Disk(const Disk&) = delete;
   Disk& operator=(const Disk&) = delete;
   ~Disk();
--- a/src/shell/diskfile.cpp
+++ b/src/shell/diskfile.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <ranges>
 
 #include "shell/disk.hpp"
 
@@ -80,7 +81,7 @@
   }
   const auto cause = write_group(encode_disk_frame(records));
   if (!cause) return cause;
-  for (auto item = before.rbegin(); item != before.rend(); ++item) contents_.apply(item->first, item->second);
+  for (const auto& [name, bytes] : before | std::views::reverse) contents_.apply(name, bytes);
   return cause;
 }
 
--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -27,6 +27,9 @@
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
 };
+/// Clang needs it up to 16.
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 }  // namespace
 
--- a/src/shell/responsehead.hpp
+++ b/src/shell/responsehead.hpp
@@ -47,6 +47,6 @@
 
 /// Reads one complete head; nothing when it is malformed, or when it tells the end of the body in two ways.
 /// `bodiless`: the request was a HEAD.
-std::optional<ResponseHead> read_response_head(std::string_view head, bool bodiless);
+std::optional<ResponseHead> read_response_head(std::string_view text, bool bodiless);
 
 }  // namespace weldsail
--- a/src/shell/server.hpp
+++ b/src/shell/server.hpp
@@ -59,7 +59,7 @@
   static int on_request(h2o_handler_t* handler, h2o_req_t* request);
   static void on_accept(h2o_socket_t* listener, const char* error);
   static void on_proceed(h2o_generator_t* generator, h2o_req_t* request);
-  static void on_dispose(void* pending);
+  static void on_dispose(void* memory);
   static void on_close(void* pipe);
   void sweep_gone();
   void sweep_pipes(Moment now);
--- a/src/wsctl/runbookcheck.cpp
+++ b/src/wsctl/runbookcheck.cpp
@@ -14,7 +14,7 @@
 
 std::set<std::string> marks_of(const std::string& text) {
   std::set<std::string> marks;
-  for (std::size_t place = 0; (place = text.find("{", place)) != std::string::npos; ++place) {
+  for (std::size_t place = 0; (place = text.find('{', place)) != std::string::npos; ++place) {
     const auto end = text.find('}', place);
     const auto name = end == std::string::npos ? std::string() : text.substr(place + 1, end - place - 1);
     const bool plain = !name.empty() && std::ranges::all_of(name, [](unsigned char letter) {
