A count follows demand while the growth before loads, and a late one keeps what has come up

From 6 s to 16 s it stood at 12 with 309 to 633 running requests (16 call for a holder, so 20 to 40), since growth isn't taken up before the last holder is ready, and two of twelve never were. Five other models stood still likewise.

A count is advised as a level by demand and by running requests: that need not wait. Only latency asks for one more than there are, so it alone waits for the growth before. Growth that is late gives up what isn't there, where all of it went, holders that served included.

Tests (placingcounts.cpp): on the code before, 5 of 10 checks fail (3 holders for 10, 2 kept of 5); all pass now.

--- a/src/core/placement/counts.cpp
+++ b/src/core/placement/counts.cpp
@@ -47,7 +47,7 @@
   if (chosen == before) return;
   count.set_count(static_cast<std::uint32_t>(chosen));
   if (count.count() > before) {
-    count.set_baseline(before);
+    if (!count.pending()) count.set_baseline(before);
     count.set_pending(true);
     clocks.pending_since = now;
   } else {
@@ -137,7 +137,9 @@
     inter_token.add(sample.inter_token);
   }
   constexpr double share = 0.95;
-  const bool measured = lately >= latency_counts_from * static_cast<double>(standing.current.prefill);
+  // Latency asks for one more holder than there are: it says nothing until those of the last growth are ready.
+  const bool measured =
+      !standing.pending && lately >= latency_counts_from * static_cast<double>(standing.current.prefill);
   const auto latency = [&](const Latencies& latencies) -> std::optional<double> {
     const auto found = latency_percentile(latencies, share);
     return found && !measured ? std::optional(0.0) : found;
@@ -177,9 +179,11 @@
       const bool taken = ready_holders(plan, input, unit) >= count.count();
       const bool late = past(own.pending_since, options.pending_timeout_s, input.now);
       if (late && !taken) {
-        note(effects, "scaler.rollback",
-             {{"unit", unit}, {"from", text_of(count.count())}, {"to", text_of(count.baseline())}});
-        count.set_count(count.baseline());
+        // Holders that have come up serve already: only what isn't there is given up.
+        const auto ready = static_cast<std::uint32_t>(ready_holders(plan, input, unit));
+        const auto kept = std::min(count.count(), std::max(count.baseline(), ready));
+        note(effects, "scaler.rollback", {{"unit", unit}, {"from", text_of(count.count())}, {"to", text_of(kept)}});
+        count.set_count(kept);
       }
       if (taken || late) {
         count.set_pending(false);
@@ -233,7 +237,10 @@
     own.reason = advice.reason;
     const std::int64_t least = std::min<std::int64_t>(count.count(), 1);
     const ModelOptions bounds{0, {least, workers[service->name]}, {least, workers[service->name]}, 0};
-    const auto chosen = scaler_constrain(own.history, {advice, advice}, standing, bounds, found->second, input.now);
+    // What is advised here is a level, not a step: it doesn't have to wait for the growth before.
+    auto settled = standing;
+    settled.pending = false;
+    const auto chosen = scaler_constrain(own.history, {advice, advice}, settled, bounds, found->second, input.now);
     move_count(plan, unit, own, chosen.prefill, input.now, effects);
   }
 }
