A model in use gives up holders beyond twice what its requests call for

At 8.4 s: 23 holders for 16 running requests, 10 for none waiting and 5 running, while 43 holders were lacking and 76 requests waited for 47 models; 23 holders for 4 requests at 9.5 s.

A holder in use may give way to a model with requests when its unit's ready holders are more than twice what its running requests call for (half a worker's slots each) and none of its requests waits. Idle ones go first, as before. What is spare is worked out once a turn for each unit.

--- a/src/core/placement/counts.cpp
+++ b/src/core/placement/counts.cpp
@@ -1,7 +1,8 @@
 #include "core/placement/counts.hpp"
 
 #include <algorithm>
-#include <cmath>
+
+#include "core/placement/crowd.hpp"
 
 namespace weldsail {
 namespace {
@@ -17,13 +18,9 @@
 constexpr double prefill_tokens = 12000;
 /// Generated tokens a second for each slot, likewise.
 constexpr double decode_tokens_per_slot = 80;
-constexpr double least_slots = 8;
 /// Below this share of what its holders take, a unit's latency isn't for lack of holders.
 constexpr double latency_counts_from = 0.25;
 
-/// Running requests that take this share of a holder's slots call for another one.
-constexpr double crowded_share = 0.5;
-
 const UnitDemand& demand_of(const PlanInput& input, const std::string& unit) {
   static const UnitDemand none;
   const auto found = input.wants.find(unit);
@@ -105,7 +102,7 @@
   options.decode_grace_s = 0;
   options.ratio_min = options.ratio_max = 1;
   options.prefill_tokens_per_s = prefill_tokens;
-  options.decode_tokens_per_s = decode_tokens_per_slot * std::max(least_slots, static_cast<double>(service.slots));
+  options.decode_tokens_per_s = decode_tokens_per_slot * worker_slots(service);
   for (const auto& route : paths.routes) {
     const bool goes =
         std::ranges::any_of(route.shares, [&](const auto& share) { return share.service == service.name; });
@@ -117,11 +114,6 @@
   return options;
 }
 
-std::int64_t count_for_running(const UnitDemand& demand, const PathService& service) {
-  const auto slots = std::max(least_slots, static_cast<double>(service.slots));
-  return static_cast<std::int64_t>(std::ceil(static_cast<double>(demand.running) / (slots * crowded_share) - 1e-9));
-}
-
 PhaseAdvice count_advise(const UnitHistory& history, const UnitStanding& standing, const ScalerOptions& options,
                          Moment now) {
   const auto stable = scaler_rates(history, options.stable_window_s, now);
--- a/src/core/placement/counts.hpp
+++ b/src/core/placement/counts.hpp
@@ -23,8 +23,6 @@
 /// One pass over what all data nodes counted: each unit's count moves toward the sum of its two demands.
 void counts_pass(HolderPlan& plan, CountClocksByUnit& clocks, const DemandPass& pass, const PlanInput& input,
                  const Limits& limits, Effects& effects);
-/// Holders that the requests running now call for.
-std::int64_t count_for_running(const UnitDemand& demand, const PathService& service);
 /// Workers that the two demands ask for together, before pacing.
 PhaseAdvice count_advise(const UnitHistory& history, const UnitStanding& standing, const ScalerOptions& options,
                          Moment now);
--- /dev/null
+++ b/src/core/placement/crowd.cpp
@@ -0,0 +1,35 @@
+#include "core/placement/crowd.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/placement/places.hpp"
+
+namespace weldsail {
+namespace {
+
+/// Fewest slots of a worker where the configuration doesn't say.
+constexpr double least_slots = 8;
+/// Running requests that take this share of a holder's slots call for another one.
+constexpr double crowded_share = 0.5;
+/// A unit keeps this many times the holders that its running requests call for; more may give way.
+constexpr std::int64_t surplus_ratio = 2;
+
+}  // namespace
+
+double worker_slots(const PathService& service) { return std::max(least_slots, static_cast<double>(service.slots)); }
+
+std::int64_t count_for_running(const UnitDemand& demand, const PathService& service) {
+  const auto slots = worker_slots(service);
+  return static_cast<std::int64_t>(std::ceil(static_cast<double>(demand.running) / (slots * crowded_share) - 1e-9));
+}
+
+std::int64_t spare_holders(const HolderPlan& plan, const PlanInput& input, const std::string& unit) {
+  const auto* service = unit_service(input.paths, unit);
+  const auto& demand = plan_wants(input, unit).demand;
+  if (service == nullptr || demand.waiting > 0) return 0;
+  const auto needed = std::max<std::int64_t>(1, count_for_running(demand, *service));
+  return std::max<std::int64_t>(0, ready_holders(plan, input, unit) - surplus_ratio * needed);
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/placement/crowd.hpp
@@ -0,0 +1,14 @@
+#pragma once
+#include "core/placement/plan.hpp"
+
+namespace weldsail {
+
+/// Slots that a worker of the service is taken to have.
+double worker_slots(const PathService& service);
+/// Holders that the requests running now call for.
+std::int64_t count_for_running(const UnitDemand& demand, const PathService& service);
+/// Holders that the unit may lose while its requests run: the ready ones beyond twice what those requests call for, and
+/// none while others wait.
+std::int64_t spare_holders(const HolderPlan& plan, const PlanInput& input, const std::string& unit);
+
+}  // namespace weldsail
--- a/src/core/placement/decide.cpp
+++ b/src/core/placement/decide.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "core/placement/crowd.hpp"
 #include "core/placement/placing.hpp"
 
 namespace weldsail {
--- a/src/core/placement/fit.cpp
+++ b/src/core/placement/fit.cpp
@@ -14,6 +14,7 @@
   const auto place = search.best(unit, evict);
   if (!place) return false;
   for (const auto& victim : place->victims) {
+    search.gave_way(victim);
     drop(plan, place->identity, victim);
     if (const auto count = plan.counts.at(victim).count(); count > 0) plan_count(plan, victim, count - 1);
     note(effects, "placement.evict", {{"unit", victim}, {"for", unit}, {"worker", place->identity}});
--- a/src/core/placement/places.cpp
+++ b/src/core/placement/places.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "core/placement/crowd.hpp"
+
 namespace weldsail {
 namespace {
 
@@ -111,9 +113,21 @@
   return most;
 }
 
-bool PlaceSearch::may_give_way(const Resident& resident, const UnitWants& taker) const {
+std::int64_t& PlaceSearch::spare_of(const std::string& unit) {
+  const auto [found, fresh] = spare_.try_emplace(unit, 0);
+  if (fresh) found->second = spare_holders(plan_, input_, unit);
+  return found->second;
+}
+
+void PlaceSearch::gave_way(const std::string& unit) { --spare_of(unit); }
+
+bool PlaceSearch::may_give_way(const Resident& resident, const UnitWants& taker) {
   const auto& demand = resident.wants->demand;
-  if (!input_.demand_known || demand.running > 0 || demand.waiting > 0 || resident.cooling) return false;
+  if (!input_.demand_known || demand.waiting > 0 || resident.cooling) return false;
+  if (demand.running > 0) {
+    const bool called_for = taker.demand.waiting > 0 || taker.demand.running > 0;
+    return called_for && spare_of(resident.unit) > 0;
+  }
   const auto needed =
       std::max(input_.bound / least_quiet_part, (input_.bound - wants_oldest(taker, input_.now)) / wanted_quiet_part);
   const bool in_use = taker.demand.waiting > 0 || taker.demand.running > 0;
@@ -125,7 +139,7 @@
 std::optional<std::vector<const PlaceSearch::Resident*>> PlaceSearch::victims_at(const Site& site,
                                                                                  const PathService& service,
                                                                                  std::int64_t weights,
-                                                                                 const UnitWants& taker) const {
+                                                                                 const UnitWants& taker) {
   auto lacking = site.planned_weights + weights - service.room_mb;
   std::vector<const Resident*> victims;
   if (lacking <= 0) return victims;
--- a/src/core/placement/places.hpp
+++ b/src/core/placement/places.hpp
@@ -19,6 +19,8 @@
   std::optional<Place> best(const std::string& unit, bool evict);
   /// The worker is to hold other models than when it was gathered.
   void changed(const std::string& identity);
+  /// A holder of the unit is about to give way.
+  void gave_way(const std::string& unit);
   /// Megabytes that the service's emptiest worker has free in the plan.
   std::int64_t free_room(const std::string& service);
 
@@ -51,12 +53,15 @@
   Site gather(const PathService& service, const PlannedWorker& worker, const WorkerBook& book) const;
   const Site::Costs& costs_of(Site& site, const PathService& service) const;
   std::optional<std::vector<const Resident*>> victims_at(const Site& site, const PathService& service,
-                                                         std::int64_t weights, const UnitWants& taker) const;
-  bool may_give_way(const Resident& resident, const UnitWants& taker) const;
+                                                         std::int64_t weights, const UnitWants& taker);
+  bool may_give_way(const Resident& resident, const UnitWants& taker);
+  /// Holders that a unit in use may still lose in this turn.
+  std::int64_t& spare_of(const std::string& unit);
 
   const PlanInput& input_;
   const HolderPlan& plan_;
   std::map<std::string, Sites> sites_;
+  std::map<std::string, std::int64_t> spare_;
 };
 
 /// Wants of a unit; one of which nothing is known counts as never used.
