--- a/test/unit/placingplan.cpp
+++ b/test/unit/placingplan.cpp
@@ -112,8 +112,9 @@
       const auto& demand = drawn.wants.at(unit_name(drawn.shape.service, model)).demand;
       const bool stuck = drawn.books.at(identity).failures > 0;
       const auto unit = unit_name(drawn.shape.service, model);
-      const bool spare = demand.running > 0 && demand.waiting == 0 &&
-                         ready_holders(drawn.plan, drawn.make(), unit) >= static_cast<std::int64_t>(plainly_kept(demand));
+      const bool spare =
+          demand.running > 0 && demand.waiting == 0 &&
+          ready_holders(drawn.plan, drawn.make(), unit) >= static_cast<std::int64_t>(plainly_kept(demand));
       CHECK((stuck || (drawn.known && (plainly_idle(demand, longest) || spare))));
     }
     std::optional<Moment> shortest_placed;
