Crowded models and others take turns for places

Cause: units without holders went by the longest wait alone, so a crowd had what waiting models left. With eight places to give, nineteen waiting models and one with nine holders' worth of requests, the crowd got none. Now the two classes take turns, one place each; a class without takers leaves all to the other. Which begins changes with each committed decision, as often only one place comes free. Crowded ones go by the fewest holders a request.

--- a/src/core/placement/crowd.cpp
+++ b/src/core/placement/crowd.cpp
@@ -24,6 +24,15 @@
   return static_cast<std::int64_t>(std::ceil(static_cast<double>(demand.running) / (slots * crowded_share) - 1e-9));
 }
 
+bool unit_crowded(const HolderPlan& plan, const PlanInput& input, const std::string& unit) {
+  const auto* service = unit_service(input.paths, unit);
+  if (service == nullptr) return false;
+  auto demand = plan_wants(input, unit).demand;
+  demand.running += demand.waiting;
+  const auto needed = count_for_running(demand, *service);
+  return needed > 1 && needed > ready_holders(plan, input, unit);
+}
+
 std::int64_t spare_holders(const HolderPlan& plan, const PlanInput& input, const std::string& unit) {
   const auto* service = unit_service(input.paths, unit);
   const auto& demand = plan_wants(input, unit).demand;
--- a/src/core/placement/fit.cpp
+++ b/src/core/placement/fit.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
+#include <deque>
 #include <ranges>
 
+#include "core/placement/crowd.hpp"
 #include "core/placement/places.hpp"
 
 namespace weldsail {
@@ -38,21 +40,83 @@
   if (worst) drop(plan, worst->second, unit);
 }
 
-/// Units that lack holders: those with held requests first, the longest wait first, then the most used.
-std::vector<std::string> lacking_units(const HolderPlan& plan, const PlanInput& input) {
-  std::vector<std::pair<std::pair<Moment, Moment>, std::string>> order;
+/// Units that lack a holder, in two classes that take turns: so neither a crowd nor many rare models keep the other
+/// from half of the places.
+struct LackingUnits {
+  /// More requests run or wait than the ready holders take well; the fewest holders for them first.
+  std::vector<std::string> crowded;
+  /// The others: those with held requests first, the longest wait first, then the most used.
+  std::vector<std::string> others;
+};
+
+LackingUnits lacking_units(const HolderPlan& plan, const PlanInput& input) {
+  std::vector<std::pair<double, std::string>> crowded;
+  std::vector<std::pair<std::pair<Moment, Moment>, std::string>> others;
   for (const auto& unit : plan_index(plan).uneven) {
-    if (planned_holders(plan, unit).size() >= plan.counts.at(unit).count()) continue;
+    const auto holders = planned_holders(plan, unit).size();
+    if (holders >= plan.counts.at(unit).count()) continue;
     const auto& wants = plan_wants(input, unit);
+    if (unit_crowded(plan, input, unit)) {
+      const auto requests = static_cast<double>(wants.demand.running + wants.demand.waiting);
+      crowded.emplace_back(static_cast<double>(holders) / requests, unit);
+      continue;
+    }
     const auto waited = wants.demand.waiting > 0 ? -wants_oldest(wants, input.now) - 1 : 0;
-    order.push_back({{waited, wants_quiet(wants, input.now)}, unit});
+    others.push_back({{waited, wants_quiet(wants, input.now)}, unit});
   }
-  std::ranges::sort(order);
-  std::vector<std::string> units;
-  for (auto& [rank, unit] : order) units.push_back(std::move(unit));
+  std::ranges::sort(crowded);
+  std::ranges::sort(others);
+  LackingUnits units;
+  for (auto& [rank, unit] : crowded) units.crowded.push_back(std::move(unit));
+  for (auto& [rank, unit] : others) units.others.push_back(std::move(unit));
   return units;
 }
 
+/// Gives units that lack holders one place each by turns of the two classes, until none is lacking or none is found.
+class PlaceRounds {
+ public:
+  PlaceRounds(HolderPlan& plan, const PlanInput& input, PlaceSearch& search, Effects& effects)
+      : plan_(plan), input_(input), search_(search), effects_(effects) {}
+  /// True when a unit still lacks a holder.
+  bool run(const LackingUnits& units) {
+    std::deque<std::string> crowded(units.crowded.begin(), units.crowded.end());
+    std::deque<std::string> others(units.others.begin(), units.others.end());
+    // With few places a turn, the class that begins would have them all: each commit gives the other one the start.
+    bool crowded_next = input_.committed.decision() % 2 == 0;
+    while (!crowded.empty() || !others.empty()) {
+      const bool from_crowded = others.empty() || (crowded_next && !crowded.empty());
+      auto& line = from_crowded ? crowded : others;
+      auto unit = std::move(line.front());
+      line.pop_front();
+      if (!give_place(unit)) continue;
+      crowded_next = !from_crowded;
+      if (lacks(unit)) line.push_back(std::move(unit));
+    }
+    return still_lacking_;
+  }
+
+ private:
+  bool lacks(const std::string& unit) const {
+    return planned_holders(plan_, unit).size() < plan_.counts.at(unit).count();
+  }
+  bool give_place(const std::string& unit) {
+    auto& tried = tried_[unit_cell(unit)];
+    const bool may = tried.contains(unit) || tried.size() < input_.places_most;
+    if (may) tried.insert(unit);
+    if (may && lacks(unit) && add_holder(plan_, search_, unit, true, effects_)) return true;
+    still_lacking_ |= lacks(unit);
+    return false;
+  }
+
+  HolderPlan& plan_;
+  const PlanInput& input_;
+  PlaceSearch& search_;
+  Effects& effects_;
+  /// By service, so that one without room doesn't keep the others waiting.
+  std::map<std::string, std::set<std::string>> tried_;
+  bool still_lacking_ = false;
+};
+
 void leave_stuck_places(HolderPlan& plan, const PlanInput& input, const std::string& unit) {
   for (const auto& identity : std::vector(planned_holders(plan, unit)))
     if (book_stuck(input, input.books.at(identity))) drop(plan, identity, unit);
@@ -105,18 +169,7 @@
     while (planned_holders(plan, unit).size() > plan.counts.at(unit).count()) drop_holder(plan, input, unit);
   }
   PlaceSearch search(input, plan);
-  bool lacks = false;
-  // By service, so that one without room doesn't keep the others waiting.
-  std::map<std::string, std::size_t> tried;
-  for (const auto& unit : lacking_units(plan, input)) {
-    if (tried[unit_cell(unit)]++ >= input.places_most) {
-      lacks = true;
-      continue;
-    }
-    while (planned_holders(plan, unit).size() < plan.counts.at(unit).count())
-      if (!add_holder(plan, search, unit, true, effects)) break;
-    lacks |= planned_holders(plan, unit).size() < plan.counts.at(unit).count();
-  }
+  const bool lacks = PlaceRounds(plan, input, search, effects).run(lacking_units(plan, input));
   if (!lacks && input.store_spare) fill_free_room(plan, input, search, effects);
 }
 
--- a/test/unit/placingclasses.cpp
+++ b/test/unit/placingclasses.cpp
@@ -97,3 +97,42 @@
   fleet.place();
   CHECK(fleet.holders(0) == 4);
 }
+
+TEST_CASE("a crowded model and many waiting ones each have half of the places", "[placing]") {
+  FullFleet fleet(9);
+  fleet.hold(0);
+  for (std::size_t idle = 30; idle < 38; ++idle) fleet.hold(idle);
+  fleet.run(0, 9 * running_a_holder);
+  fleet.plan.counts.at(fleet.unit(0)).set_count(9);
+  plan_reindex(fleet.plan);
+  for (std::size_t model = 1; model < 20; ++model) fleet.wait(model, 2000);
+  fleet.place();
+  CHECK(fleet.holders(0) == 1 + 4);
+  std::size_t placed = 0;
+  for (std::size_t model = 1; model < 20; ++model) placed += fleet.holders(model);
+  CHECK(placed == 4);
+}
+
+TEST_CASE("where one place comes free at a time, the two classes begin by turns", "[placing]") {
+  for (std::uint64_t decision = 0; decision < 2; ++decision) {
+    FullFleet fleet(2);
+    fleet.hold(0);
+    fleet.hold(30);
+    fleet.run(0, 4 * running_a_holder);
+    fleet.plan.counts.at(fleet.unit(0)).set_count(4);
+    plan_reindex(fleet.plan);
+    fleet.wait(1, 2000);
+    fleet.committed.set_decision(decision);
+    fleet.place();
+    CHECK(fleet.holders(0) == (decision == 0 ? 2 : 1));
+    CHECK(fleet.holders(1) == (decision == 0 ? 0 : 1));
+  }
+}
+
+TEST_CASE("without a crowd the longest wait has all places, as before", "[placing]") {
+  FullFleet fleet(3);
+  for (std::size_t idle = 30; idle < 33; ++idle) fleet.hold(idle);
+  for (std::size_t model = 1; model < 6; ++model) fleet.wait(model, static_cast<Moment>(1000 * model));
+  fleet.place();
+  for (std::size_t model = 1; model < 6; ++model) CHECK(fleet.holders(model) == (model >= 3 ? 1 : 0));
+}
