--- a/src/core/placement/fit.cpp
+++ b/src/core/placement/fit.cpp
@@ -4,6 +4,7 @@
 
 #include "core/placement/crowd.hpp"
 #include "core/placement/places.hpp"
+#include "core/placement/roomahead.hpp"
 
 namespace weldsail {
 namespace {
@@ -12,9 +13,11 @@
   plan_leave(plan, identity, unit_model(unit));
 }
 
-bool add_holder(HolderPlan& plan, PlaceSearch& search, const std::string& unit, bool evict, Effects& effects) {
-  const auto place = search.best(unit, evict);
-  if (!place) return false;
+/// The worker that is to hold the unit from now on; none without a place.
+std::optional<std::string> add_holder(HolderPlan& plan, PlaceSearch& search, const std::string& unit, GiveWay give_way,
+                                      Effects& effects) {
+  const auto place = search.best(unit, give_way);
+  if (!place) return std::nullopt;
   for (const auto& victim : place->victims) {
     search.gave_way(victim);
     drop(plan, place->identity, victim);
@@ -23,7 +26,7 @@
   }
   plan_hold(plan, place->identity, unit_model(unit));
   search.changed(place->identity);
-  return true;
+  return place->identity;
 }
 
 void drop_holder(HolderPlan& plan, const PlanInput& input, const std::string& unit) {
@@ -76,7 +79,12 @@
 class PlaceRounds {
  public:
   PlaceRounds(HolderPlan& plan, const PlanInput& input, PlaceSearch& search, Effects& effects)
-      : plan_(plan), input_(input), search_(search), effects_(effects) {}
+      : plan_(plan),
+        input_(input),
+        search_(search),
+        effects_(effects),
+        ahead_(loads_ahead(input)),
+        pending_(pending_loads(plan, input)) {}
   /// True when a unit still lacks a holder.
   bool run(const LackingUnits& units) {
     std::deque<std::string> crowded(units.crowded.begin(), units.crowded.end());
@@ -103,15 +111,26 @@
     auto& tried = tried_[unit_cell(unit)];
     const bool may = tried.contains(unit) || tried.size() < input_.places_most;
     if (may) tried.insert(unit);
-    if (may && lacks(unit) && add_holder(plan_, search_, unit, true, effects_)) return true;
+    if (may && lacks(unit) && place(unit)) return true;
     still_lacking_ |= lacks(unit);
     return false;
   }
 
+  bool place(const std::string& unit) {
+    const bool pressing = presses(plan_, input_, unit);
+    // What gives way is of use until the store can begin the load that takes its room.
+    const bool store_free = (pressing ? pending_.waited_for : pending_.all) < ahead_;
+    const auto worker = add_holder(plan_, search_, unit, store_free ? GiveWay::anywhere : GiveWay::for_disk, effects_);
+    if (worker && from_store(input_.books.at(*worker), unit_model(unit))) pending_.add(pressing);
+    return worker.has_value();
+  }
+
   HolderPlan& plan_;
   const PlanInput& input_;
   PlaceSearch& search_;
   Effects& effects_;
+  std::size_t ahead_;
+  PendingLoads pending_;
   /// By service, so that one without room doesn't keep the others waiting.
   std::map<std::string, std::set<std::string>> tried_;
   bool still_lacking_ = false;
@@ -142,7 +161,7 @@
   }
   std::ranges::sort(order);
   for (const auto& [quiet, unit] : order)
-    if (add_holder(plan, search, unit, false, effects)) return plan_count(plan, unit, 1);
+    if (add_holder(plan, search, unit, GiveWay::nowhere, effects)) return plan_count(plan, unit, 1);
 }
 
 /// Units whose holders may have to change: those that lack or exceed their count, and those with held requests.
--- a/test/unit/placingclasses.cpp
+++ b/test/unit/placingclasses.cpp
@@ -17,6 +17,8 @@
   explicit FullFleet(std::size_t workers) {
     shape.workers = workers;
     shape.room_mb = shape.weights_mb;
+    // No rate: how far ahead of the store room is made is tested in placingroom.cpp.
+    shape.loads_per_s = 0;
     paths = workers_config(shape);
     for (std::size_t model = 0; model < shape.models; ++model) {
       auto& count = plan.counts[unit(model)];
