--- a/src/core/placement/counts.cpp
+++ b/src/core/placement/counts.cpp
@@ -1,7 +1,8 @@
 #include "core/placement/counts.hpp"
 
 #include <algorithm>
-#include <cmath>
+
+#include "core/placement/crowd.hpp"
 
 namespace weldsail {
 namespace {
@@ -17,13 +18,9 @@
 constexpr double prefill_tokens = 12000;
 /// Generated tokens a second for each slot, likewise.
 constexpr double decode_tokens_per_slot = 80;
-constexpr double least_slots = 8;
 /// Below this share of what its holders take, a unit's latency isn't for lack of holders.
 constexpr double latency_counts_from = 0.25;
 
-/// Running requests that take this share of a holder's slots call for another one.
-constexpr double crowded_share = 0.5;
-
 const UnitDemand& demand_of(const PlanInput& input, const std::string& unit) {
   static const UnitDemand none;
   const auto found = input.wants.find(unit);
@@ -47,7 +44,7 @@
   if (chosen == before) return;
   count.set_count(static_cast<std::uint32_t>(chosen));
   if (count.count() > before) {
-    count.set_baseline(before);
+    if (!count.pending()) count.set_baseline(before);
     count.set_pending(true);
     clocks.pending_since = now;
   } else {
@@ -105,7 +102,7 @@
   options.decode_grace_s = 0;
   options.ratio_min = options.ratio_max = 1;
   options.prefill_tokens_per_s = prefill_tokens;
-  options.decode_tokens_per_s = decode_tokens_per_slot * std::max(least_slots, static_cast<double>(service.slots));
+  options.decode_tokens_per_s = decode_tokens_per_slot * worker_slots(service);
   for (const auto& route : paths.routes) {
     const bool goes =
         std::ranges::any_of(route.shares, [&](const auto& share) { return share.service == service.name; });
@@ -117,11 +114,6 @@
   return options;
 }
 
-std::int64_t count_for_running(const UnitDemand& demand, const PathService& service) {
-  const auto slots = std::max(least_slots, static_cast<double>(service.slots));
-  return static_cast<std::int64_t>(std::ceil(static_cast<double>(demand.running) / (slots * crowded_share) - 1e-9));
-}
-
 PhaseAdvice count_advise(const UnitHistory& history, const UnitStanding& standing, const ScalerOptions& options,
                          Moment now) {
   const auto stable = scaler_rates(history, options.stable_window_s, now);
@@ -137,7 +129,9 @@
     inter_token.add(sample.inter_token);
   }
   constexpr double share = 0.95;
-  const bool measured = lately >= latency_counts_from * static_cast<double>(standing.current.prefill);
+  // Latency asks for one more holder than there are: it says nothing until those of the last growth are ready.
+  const bool measured =
+      !standing.pending && lately >= latency_counts_from * static_cast<double>(standing.current.prefill);
   const auto latency = [&](const Latencies& latencies) -> std::optional<double> {
     const auto found = latency_percentile(latencies, share);
     return found && !measured ? std::optional(0.0) : found;
@@ -177,9 +171,11 @@
       const bool taken = ready_holders(plan, input, unit) >= count.count();
       const bool late = past(own.pending_since, options.pending_timeout_s, input.now);
       if (late && !taken) {
-        note(effects, "scaler.rollback",
-             {{"unit", unit}, {"from", text_of(count.count())}, {"to", text_of(count.baseline())}});
-        count.set_count(count.baseline());
+        // Holders that have come up serve already: only what isn't there is given up.
+        const auto ready = static_cast<std::uint32_t>(ready_holders(plan, input, unit));
+        const auto kept = std::min(count.count(), std::max(count.baseline(), ready));
+        note(effects, "scaler.rollback", {{"unit", unit}, {"from", text_of(count.count())}, {"to", text_of(kept)}});
+        count.set_count(kept);
       }
       if (taken || late) {
         count.set_pending(false);
@@ -233,7 +229,10 @@
     own.reason = advice.reason;
     const std::int64_t least = std::min<std::int64_t>(count.count(), 1);
     const ModelOptions bounds{0, {least, workers[service->name]}, {least, workers[service->name]}, 0};
-    const auto chosen = scaler_constrain(own.history, {advice, advice}, standing, bounds, found->second, input.now);
+    // What is advised here is a level, not a step: it doesn't have to wait for the growth before.
+    auto settled = standing;
+    settled.pending = false;
+    const auto chosen = scaler_constrain(own.history, {advice, advice}, settled, bounds, found->second, input.now);
     move_count(plan, unit, own, chosen.prefill, input.now, effects);
   }
 }
--- a/src/core/placement/fit.cpp
+++ b/src/core/placement/fit.cpp
@@ -1,69 +1,14 @@
 #include <algorithm>
-#include <cmath>
-#include <limits>
+#include <deque>
 #include <ranges>
 
+#include "core/placement/crowd.hpp"
 #include "core/placement/places.hpp"
+#include "core/placement/roomahead.hpp"
 
 namespace weldsail {
 namespace {
 
-/// Room is made for loads that the store can begin within this part of the bound.
-constexpr Moment made_ahead_part = 6;
-constexpr double milliseconds = 1000;
-
-/// Planned loads from the store that haven't been ordered.
-struct PendingLoads {
-  /// For units with held requests.
-  std::size_t waited_for = 0;
-  std::size_t all = 0;
-
-  void add(bool waits) {
-    ++all;
-    if (waits) ++waited_for;
-  }
-};
-
-bool unit_waits(const PlanInput& input, const std::string& unit) { return plan_wants(input, unit).demand.waiting > 0; }
-
-/// Loads that room may be made for ahead of the store; without a rate there is no limit.
-std::size_t loads_ahead(const PlanInput& input) {
-  double rate = 0;
-  for (const auto& [name, service] : input.paths.services)
-    if (service.loads_per_s > 0) rate = rate > 0 ? std::min(rate, service.loads_per_s) : service.loads_per_s;
-  if (rate <= 0) return std::numeric_limits<std::size_t>::max();
-  const auto seconds = static_cast<double>(input.bound / made_ahead_part) / milliseconds;
-  return static_cast<std::size_t>(std::max(1.0, std::ceil(rate * seconds)));
-}
-
-bool from_store(const WorkerBook& book, const std::string& model) {
-  return !book_holds(book, model) && !book.had.contains(model);
-}
-
-/// The worker's planned loads that wait for the store: it isn't busy with another load, and answers.
-void add_pending(PendingLoads& pending, const PlanInput& input, const PlannedWorker& worker, const WorkerBook& book) {
-  if (book_stuck(input, book) || (book.order && book.order->order.load)) return;
-  for (const auto& model : worker.models)
-    if (from_store(book, model)) pending.add(unit_waits(input, unit_name(worker.service, model)));
-}
-
-PendingLoads pending_loads(const HolderPlan& plan, const PlanInput& input) {
-  PendingLoads pending;
-  const auto visit = [&](const std::string& identity) {
-    if (input.work != nullptr) ++input.work->workers;
-    const auto worker = plan.workers.find(identity);
-    if (worker != plan.workers.end()) add_pending(pending, input, worker->second, input.books.at(identity));
-  };
-  if (input.open_work == nullptr) {
-    for (const auto& [identity, worker] : plan.workers) visit(identity);
-    return pending;
-  }
-  for (const auto& identity : *input.open_work) visit(identity);
-  for (const auto& identity : plan.touched_workers)
-    if (!input.open_work->contains(identity)) visit(identity);
-  return pending;
-}
-
 void drop(HolderPlan& plan, const std::string& identity, const std::string& unit) {
   plan_leave(plan, identity, unit_model(unit));
 }
@@ -74,6 +19,7 @@
   const auto place = search.best(unit, give_way);
   if (!place) return std::nullopt;
   for (const auto& victim : place->victims) {
+    search.gave_way(victim);
     drop(plan, place->identity, victim);
     if (const auto count = plan.counts.at(victim).count(); count > 0) plan_count(plan, victim, count - 1);
     note(effects, "placement.evict", {{"unit", victim}, {"for", unit}, {"worker", place->identity}});
@@ -97,21 +43,99 @@
   if (worst) drop(plan, worst->second, unit);
 }
 
-/// Units that lack holders: those with held requests first, the longest wait first, then the most used.
-std::vector<std::string> lacking_units(const HolderPlan& plan, const PlanInput& input) {
-  std::vector<std::pair<std::pair<Moment, Moment>, std::string>> order;
+/// Units that lack a holder, in two classes that take turns: so neither a crowd nor many rare models keep the other
+/// from half of the places.
+struct LackingUnits {
+  /// More requests run or wait than the ready holders take well; the fewest holders for them first.
+  std::vector<std::string> crowded;
+  /// The others: those with held requests first, the longest wait first, then the most used.
+  std::vector<std::string> others;
+};
+
+LackingUnits lacking_units(const HolderPlan& plan, const PlanInput& input) {
+  std::vector<std::pair<double, std::string>> crowded;
+  std::vector<std::pair<std::pair<Moment, Moment>, std::string>> others;
   for (const auto& unit : plan_index(plan).uneven) {
-    if (planned_holders(plan, unit).size() >= plan.counts.at(unit).count()) continue;
+    const auto holders = planned_holders(plan, unit).size();
+    if (holders >= plan.counts.at(unit).count()) continue;
     const auto& wants = plan_wants(input, unit);
+    if (unit_crowded(plan, input, unit)) {
+      const auto requests = static_cast<double>(wants.demand.running + wants.demand.waiting);
+      crowded.emplace_back(static_cast<double>(holders) / requests, unit);
+      continue;
+    }
     const auto waited = wants.demand.waiting > 0 ? -wants_oldest(wants, input.now) - 1 : 0;
-    order.push_back({{waited, wants_quiet(wants, input.now)}, unit});
+    others.push_back({{waited, wants_quiet(wants, input.now)}, unit});
   }
-  std::ranges::sort(order);
-  std::vector<std::string> units;
-  for (auto& [rank, unit] : order) units.push_back(std::move(unit));
+  std::ranges::sort(crowded);
+  std::ranges::sort(others);
+  LackingUnits units;
+  for (auto& [rank, unit] : crowded) units.crowded.push_back(std::move(unit));
+  for (auto& [rank, unit] : others) units.others.push_back(std::move(unit));
   return units;
 }
 
+/// Gives units that lack holders one place each by turns of the two classes, until none is lacking or none is found.
+class PlaceRounds {
+ public:
+  PlaceRounds(HolderPlan& plan, const PlanInput& input, PlaceSearch& search, Effects& effects)
+      : plan_(plan),
+        input_(input),
+        search_(search),
+        effects_(effects),
+        ahead_(loads_ahead(input)),
+        pending_(pending_loads(plan, input)) {}
+  /// True when a unit still lacks a holder.
+  bool run(const LackingUnits& units) {
+    std::deque<std::string> crowded(units.crowded.begin(), units.crowded.end());
+    std::deque<std::string> others(units.others.begin(), units.others.end());
+    // With few places a turn, the class that begins would have them all: each commit gives the other one the start.
+    bool crowded_next = input_.committed.decision() % 2 == 0;
+    while (!crowded.empty() || !others.empty()) {
+      const bool from_crowded = others.empty() || (crowded_next && !crowded.empty());
+      auto& line = from_crowded ? crowded : others;
+      auto unit = std::move(line.front());
+      line.pop_front();
+      if (!give_place(unit)) continue;
+      crowded_next = !from_crowded;
+      if (lacks(unit)) line.push_back(std::move(unit));
+    }
+    return still_lacking_;
+  }
+
+ private:
+  bool lacks(const std::string& unit) const {
+    return planned_holders(plan_, unit).size() < plan_.counts.at(unit).count();
+  }
+  bool give_place(const std::string& unit) {
+    auto& tried = tried_[unit_cell(unit)];
+    const bool may = tried.contains(unit) || tried.size() < input_.places_most;
+    if (may) tried.insert(unit);
+    if (may && lacks(unit) && place(unit)) return true;
+    still_lacking_ |= lacks(unit);
+    return false;
+  }
+
+  bool place(const std::string& unit) {
+    const bool pressing = presses(plan_, input_, unit);
+    // What gives way is of use until the store can begin the load that takes its room.
+    const bool store_free = (pressing ? pending_.waited_for : pending_.all) < ahead_;
+    const auto worker = add_holder(plan_, search_, unit, store_free ? GiveWay::anywhere : GiveWay::for_disk, effects_);
+    if (worker && from_store(input_.books.at(*worker), unit_model(unit))) pending_.add(pressing);
+    return worker.has_value();
+  }
+
+  HolderPlan& plan_;
+  const PlanInput& input_;
+  PlaceSearch& search_;
+  Effects& effects_;
+  std::size_t ahead_;
+  PendingLoads pending_;
+  /// By service, so that one without room doesn't keep the others waiting.
+  std::map<std::string, std::set<std::string>> tried_;
+  bool still_lacking_ = false;
+};
+
 void leave_stuck_places(HolderPlan& plan, const PlanInput& input, const std::string& unit) {
   for (const auto& identity : std::vector(planned_holders(plan, unit)))
     if (book_stuck(input, input.books.at(identity))) drop(plan, identity, unit);
@@ -164,26 +188,7 @@
     while (planned_holders(plan, unit).size() > plan.counts.at(unit).count()) drop_holder(plan, input, unit);
   }
   PlaceSearch search(input, plan);
-  const auto ahead = loads_ahead(input);
-  auto pending = pending_loads(plan, input);
-  bool lacks = false;
-  // By service, so that one without room doesn't keep the others waiting.
-  std::map<std::string, std::size_t> tried;
-  for (const auto& unit : lacking_units(plan, input)) {
-    if (tried[unit_cell(unit)]++ >= input.places_most) {
-      lacks = true;
-      continue;
-    }
-    const bool waits = unit_waits(input, unit);
-    while (planned_holders(plan, unit).size() < plan.counts.at(unit).count()) {
-      // What gives way is of use until the store can begin the load that takes its room.
-      const bool store_free = (waits ? pending.waited_for : pending.all) < ahead;
-      const auto worker = add_holder(plan, search, unit, store_free ? GiveWay::anywhere : GiveWay::for_disk, effects);
-      if (!worker) break;
-      if (from_store(input.books.at(*worker), unit_model(unit))) pending.add(waits);
-    }
-    lacks |= planned_holders(plan, unit).size() < plan.counts.at(unit).count();
-  }
+  const bool lacks = PlaceRounds(plan, input, search, effects).run(lacking_units(plan, input));
   if (!lacks && input.store_spare) fill_free_room(plan, input, search, effects);
 }
 
