--- a/src/core/configuration/fetch.cpp
+++ b/src/core/configuration/fetch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "core/configuration/chain.hpp"
 #include "core/configuration/serve.hpp"
 #include "core/consensus/duty.hpp"
 #include "core/delta.hpp"
@@ -87,25 +88,6 @@
   begin(state, member, key, base_version, state.delivery.fetches[key].source, now, effects);
 }
 
-/// The value that a chain leads to from the one here; nothing when it doesn't begin here.
-std::optional<wire::RegisterValue> follow_chain(const wire::RegisterValue& own, const wire::ValueChain& chain) {
-  wire::RegisterValue value;
-  value.set_key(own.key());
-  value.set_version(own.version());
-  std::vector<const wire::Delta*> deltas;
-  for (const auto& link : chain.links()) {
-    if (link.version() <= value.version()) continue;
-    if (link.base_version() != value.version()) return std::nullopt;
-    value.set_version(link.version());
-    value.set_epoch(link.epoch());
-    deltas.push_back(&link.delta());
-  }
-  auto result = apply_deltas(own.value(), deltas);
-  if (!result) return std::nullopt;
-  value.set_value(std::move(*result));
-  return value;
-}
-
 std::optional<wire::RegisterValue> read_content(NewsState& state, const std::string& key, const Fetch& fetch) {
   wire::RegisterValue value;
   value.set_key(key);
--- a/src/shell/messenger.cpp
+++ b/src/shell/messenger.cpp
@@ -7,24 +7,11 @@
 #include <cstring>
 #include <utility>
 
-namespace weldsail {
-namespace {
+#include "shell/messengerlimits.hpp"
 
-constexpr std::size_t queue_most = 8U << 20U;
-/// Bytes that may wait on all connections together. Large messages leave the last eighth to small ones.
-constexpr std::size_t sum_most = 4 * queue_most;
-constexpr std::size_t large_sum_most = sum_most - sum_most / 8;
-constexpr std::size_t small_most = 16U << 10U;
-constexpr std::size_t queue_kept = 16U << 10U;
-constexpr std::size_t inbound_most = 1024;
-constexpr std::int64_t stalled_most = 3000;
-constexpr std::int64_t idle_most = 30000;
-constexpr std::int64_t silent_most = 120000;
-constexpr std::int64_t sweep_pause = 250;
-constexpr int unacknowledged_most = 2000;
-constexpr std::int64_t framing_kept = 60000;
+namespace weldsail {
 
-}  // namespace
+using namespace messenger_limits;
 
 /// The connection on which we send to an address.
 struct Messenger::Link {
@@ -104,16 +91,12 @@
 
 void Messenger::send(const std::string& address, const wire::Envelope& envelope) {
   auto* link = link_to(address);
-  if (link == nullptr) {
-    ++dropped_;
-    return;
-  }
   const auto size = envelope.ByteSizeLong();
-  auto& queued = link->queued;
-  if (!has_room(*link, size)) {
+  if (link == nullptr || !has_room(*link, size)) {
     ++dropped_;
     return;
   }
+  auto& queued = link->queued;
   count_message(sent_, envelope.body_case(), size);
   const auto before = queued.size();
   queued += frame_head(link->framing, address, size);
