--- a/src/shell/server.hpp
+++ b/src/shell/server.hpp
@@ -62,7 +62,7 @@
   static void on_accept(h2o_socket_t* listener, const char* error);
   static void on_proceed(h2o_generator_t* generator, h2o_req_t* request);
   static void on_dispose(void* memory);
-  static void on_close(void* pipe);
+  static void on_close(void* memory);
   void sweep_gone();
   void sweep_pipes(Moment now);
   void flush(Pending& pending);
