Lane: a repeated piece tells no round trip; copies, parts and assemblies kept apart

Copies for a recovery and for a repair counted as one message, of which the newer superseded the other. Parts of finished fetches stayed in the window until somebody asked again. An unfinished message of a sender that is gone was kept until another piece came.

Change: only what was sent once is measured, and the patience stays as long as it has become; copies are told apart by the core they are for; parts leave the window, and assemblies the memory, at each step.

--- a/src/core/bulk/assembly.cpp
+++ b/src/core/bulk/assembly.cpp
@@ -70,6 +70,8 @@
 }
 
 void assembly_expire(AssemblyState& state, Moment now) {
+  if (now < state.next_expiry) return;
+  state.next_expiry = now + state.bound;
   std::erase_if(state.senders, [&](const auto& item) {
     const bool old = now - item.second.heard > remembered_bounds * state.bound;
     if (old && !item.second.bytes.empty()) ++state.dropped;
--- a/src/core/bulk/assembly.hpp
+++ b/src/core/bulk/assembly.hpp
@@ -21,6 +21,7 @@
 struct AssemblyState {
   Moment bound = 3000;
   std::map<std::uint64_t, Assembly> senders;
+  Moment next_expiry = 0;
   /// Messages that were dropped unfinished, from the start of the process.
   std::uint64_t dropped = 0;
 };
@@ -33,7 +34,7 @@
 };
 
 PieceTaken assembly_take(AssemblyState& state, std::uint64_t sender, const wire::BulkPiece& piece, Moment now);
-/// Forgets senders that have long been silent.
+/// Forgets senders that have long been silent; looks for them once a bound.
 void assembly_expire(AssemblyState& state, Moment now);
 std::size_t assembly_bytes(const AssemblyState& state);
 
--- a/src/core/bulk/bulk.cpp
+++ b/src/core/bulk/bulk.cpp
@@ -55,7 +55,6 @@
   if (envelope.has_bulk_acknowledged())
     lane_acknowledged(state.lane, window, envelope.from(), envelope.bulk_acknowledged(), now);
   if (!envelope.has_bulk_piece()) return std::nullopt;
-  assembly_expire(state.assembly, now);
   auto taken = assembly_take(state.assembly, envelope.from(), envelope.bulk_piece(), now);
   auto answer = member_envelope(member, envelope.from());
   *answer.mutable_bulk_acknowledged() = std::move(taken.answer);
@@ -70,7 +69,9 @@
 
 void bulk_send(BulkState& state, SendWindow& window, const MemberState& member, Moment now, Effects& effects) {
   take_large(state.lane, member, now, effects);
+  assembly_expire(state.assembly, now);
   if (state.lane.peers.empty()) return;
+  window_expire_parts(window, state.lane.bound, now);
   give_up_dead(state.lane, window, member, now, effects);
   const auto violations = state.lane.counters.violations;
   for (auto& item : lane_send(state.lane, window, now)) {
--- a/src/core/bulk/lane.cpp
+++ b/src/core/bulk/lane.cpp
@@ -18,6 +18,8 @@
 
 Moment first_patience(const LaneState& state) { return std::max<Moment>(1, state.bound / acknowledgements_per_bound); }
 
+Moment longest_patience(const LaneState& state) { return first_patience(state) << patience_doublings; }
+
 std::size_t peer_bytes(const BulkPeer& peer) {
   std::size_t bytes = 0;
   for (const auto& message : peer.queue) bytes += message.bytes.size();
@@ -118,8 +120,10 @@
   }
   if (acknowledged.received() <= peer.acknowledged || acknowledged.received() > message.bytes.size()) return;
   window_release(window, BulkUse::piece, node);
-  if (peer.awaiting)
-    peer.patience = std::clamp(2 * (now - peer.sent), first_patience(state), 2 * first_patience(state));
+  // What was sent again may be acknowledged for its first sending, which tells no round trip: the patience stays as
+  // long as it has become.
+  if (peer.awaiting && peer.tries == 1)
+    peer.patience = std::clamp(2 * (now - peer.sent), first_patience(state), longest_patience(state));
   peer.acknowledged = acknowledged.received();
   peer.awaiting = false;
   peer.tries = 0;
@@ -133,7 +137,7 @@
   for (auto& [node, peer] : state.peers) {
     if (!peer.awaiting || now - peer.sent < peer.patience) continue;
     peer.awaiting = false;
-    peer.patience = std::min(2 * peer.patience, first_patience(state) << patience_doublings);
+    peer.patience = std::min(2 * peer.patience, longest_patience(state));
     window_release(window, BulkUse::piece, node);
     overdue.push_back(node);
   }
--- a/src/core/bulk/topic.cpp
+++ b/src/core/bulk/topic.cpp
@@ -1,6 +1,14 @@
 #include "core/bulk/topic.hpp"
 
 namespace weldsail {
+namespace {
+
+/// Copies for a repair and those for a recovery answer asks of different cores: neither makes the other needless.
+std::string copies_topic(const wire::CopyAnswer& answer) {
+  return "copies " + std::to_string(answer.core_epoch()) + "." + std::to_string(answer.core_version());
+}
+
+}  // namespace
 
 std::string operate_topic(std::uint64_t request) { return "operate " + std::to_string(request); }
 
@@ -8,7 +16,7 @@
   switch (envelope.body_case()) {
     case wire::Envelope::kAccept: return {"accept " + envelope.accept().key(), !envelope.accept().has_delta()};
     case wire::Envelope::kPromise: return {"promise " + envelope.promise().key(), true};
-    case wire::Envelope::kCopyAnswer: return {"copies", true};
+    case wire::Envelope::kCopyAnswer: return {copies_topic(envelope.copy_answer()), true};
     case wire::Envelope::kFleet: return {"fleet", envelope.fleet().base() == 0 && !envelope.fleet().same()};
     case wire::Envelope::kOperate: return {operate_topic(envelope.operate().request()), false};
     default: return {};
--- a/src/core/bulk/window.hpp
+++ b/src/core/bulk/window.hpp
@@ -31,6 +31,8 @@
 void window_release(SendWindow& window, BulkUse use, std::uint64_t node);
 /// Counts nothing of a use any more that was sent up to the moment.
 void window_expire(SendWindow& window, BulkUse use, Moment sent);
+/// Counts no part of a value any more whose asker has been silent for longer than a next ask takes.
+void window_expire_parts(SendWindow& window, Moment bound, Moment now);
 std::size_t window_bytes(const SendWindow& window);
 std::size_t window_bytes(const SendWindow& window, BulkUse use);
 /// Peers that have something of a use under way.
--- a/src/core/configuration/serve.cpp
+++ b/src/core/configuration/serve.cpp
@@ -21,15 +21,13 @@
 constexpr std::size_t part_least = part_bytes / 4;
 /// Bytes of parts, with pieces of messages, that may be under way before parts shrink to that.
 constexpr std::size_t parts_window_most = 6 * part_bytes;
-/// A part counts as under way until its asker asks again, or for this part of the bound.
-constexpr Moment parts_per_bound = 30;
 
 /// Askers share the window: each has one ask under way, so what this sends to all of them at once has a bound without
 /// any of them having to wait.
 std::size_t part_length(NewsState& state, std::uint64_t asker, Moment now) {
   auto& window = state.delivery.window;
   window_release(window, BulkUse::part, asker);
-  window_expire(window, BulkUse::part, now - state.bound / parts_per_bound);
+  window_expire_parts(window, state.bound, now);
   const auto share = parts_window_most / (window_peers(window, BulkUse::part) + 1);
   const auto room = parts_window_most - std::min(parts_window_most, window_bytes(window));
   return std::clamp(std::min(share, room), part_least, part_bytes);
--- a/test/unit/bulkbench.hpp
+++ b/test/unit/bulkbench.hpp
@@ -160,6 +160,7 @@
   Moment now = 1000;
   double loss = 0;
   double doubled = 0;
+  Moment delay_least = 0;
   Moment delay_most = 20;
   std::map<std::string, BulkProcess> processes;
   std::set<std::pair<std::string, std::string>> cut;
@@ -199,7 +200,7 @@
     if (!processes.contains(item.address) || chance.happens(loss)) return;
     const auto copies = chance.happens(doubled) ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy)
-      messages.push({now + chance.between(0, delay_most), ++order_, from, item.address, item.envelope});
+      messages.push({now + chance.between(delay_least, delay_most), ++order_, from, item.address, item.envelope});
   }
 
   std::priority_queue<Message> messages;
