--- a/test/unit/runbooks.cpp
+++ b/test/unit/runbooks.cpp
@@ -151,6 +151,8 @@
   REQUIRE(fleet.start());
   const auto node = fleet.datas[0].callers;
   REQUIRE(fleet.ask_until_good("PUT", node, "/v1/config", {{"weldsail-base", "0"}}, halls, 20000).status == 200);
+  // Books about workers need an owner of the placement, which may come after that of the configuration.
+  REQUIRE(fleet.ask_until_good("GET", node, "/v1/placements", {}, {}, 20000).status == 200);
   const auto run = [&](const std::string& name, std::vector<std::string> inputs, const std::string& at = {}) {
     std::vector<std::string> words{"runbook", "run", name, "--node", at.empty() ? node : at, "--yes"};
     for (const auto& input : inputs) words.insert(words.end(), {"--set", input});
