The simulated world names kinds of messages by the program's own table

The names stood in src/core/traffic.cpp and again in test/sim/messagekind.cpp, equal word for word. No source of the programs is touched.

--- a/test/sim/messagekind.cpp
+++ b/test/sim/messagekind.cpp
@@ -1,21 +1,10 @@
 #include "sim/messagekind.hpp"
 
-#include <iterator>
+#include "core/traffic.hpp"
 
 namespace weldsail::sim {
 
-std::string message_kind(wire::Envelope::BodyCase body) {
-  if (body == wire::Envelope::kValueAsk) return "value_ask";
-  if (body == wire::Envelope::kValuePart) return "value_part";
-  if (body == wire::Envelope::kBulkPiece) return "bulk_piece";
-  if (body == wire::Envelope::kBulkAcknowledged) return "bulk_acknowledged";
-  static constexpr const char* names[] = {"ping",    "prepare",  "promise",     "accept",         "accepted",
-                                          "check",   "checked",  "form",        "news_ask",       "news",
-                                          "operate", "operated", "counter_ask", "counter_report", "claim",
-                                          "claimed", "copy_ask", "copy_answer", "fleet",          "fleet_ask"};
-  const auto place = static_cast<std::size_t>(body) - wire::Envelope::kPing;
-  return place < std::size(names) ? names[place] : "other";
-}
+std::string message_kind(wire::Envelope::BodyCase body) { return message_kind_name(body); }
 
 bool may_carry_configuration(wire::Envelope::BodyCase body) {
   switch (body) {
