A request looks at the holders of its model, a change of the view at its own entries

Cause: a data node kept the workers in one sorted list. Each request, each waiting one twenty times a second, and each change of the view went through all of it; a beat of the view too, for times that few workers have.

The index answers by identity, by service and by model. The new counter workers_considered_total shows it in operation.

listing.cpp asks for workers by identity where it asked by place; its checks are the same.

--- a/src/core/consensus/duty.cpp
+++ b/src/core/consensus/duty.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr Moment staggers_per_bound = 6;
-constexpr Moment leases_per_bound = 3;
 
 std::size_t own_rank(const DutyState& state, const MemberState& member, const wire::Core& core, const std::string& key,
                      const wire::Member* silent) {
@@ -45,7 +44,7 @@
   if (holder->node() == member.self.node()) return false;
   const auto granted = acceptor.granted_at.find(key);
   if (granted == acceptor.granted_at.end()) return false;
-  const auto lease = state.bound / leases_per_bound;
+  const auto lease = lease_length(state.bound);
   return now - std::max(granted->second, acceptor.known_since) > lease + lease / 4;
 }
 
--- a/src/core/consensus/register.cpp
+++ b/src/core/consensus/register.cpp
@@ -60,7 +60,7 @@
   state.promised.insert(envelope.disk());
   state.former_until = std::max(state.former_until, now - static_cast<Moment>(promise.quiet_ms()));
   if (!core_majority(core, state.promised)) return RegisterSignal::none;
-  const auto apart = std::min(now, state.former_until + register_lease(state)) + state.bound;
+  const auto apart = std::min(now, state.former_until + lease_length(state.bound)) + state.bound;
   state.acts_from = std::max(now, apart);
   state.confirmed = state.since;
   if (state.best_epoch == 0) {
@@ -130,7 +130,7 @@
 
 }  // namespace
 
-Moment register_lease(const RegisterState& state) { return state.bound / leases_per_bound; }
+Moment lease_length(Moment bound) { return bound / leases_per_bound; }
 
 std::uint32_t core_seat(const wire::Core& core, std::uint64_t disk) {
   for (const auto& item : core.disks())
@@ -203,7 +203,7 @@
 
 RegisterSignal register_tick(RegisterState& state, const MemberState& member, const wire::Core& core, Moment now,
                              Effects& effects) {
-  const auto lease = register_lease(state);
+  const auto lease = lease_length(state.bound);
   if (state.phase == OwnerPhase::idle) return RegisterSignal::none;
   if (state.phase != OwnerPhase::holding && now - state.since > give_up_leases * lease) {
     lose(state, state.epoch, now, effects);
@@ -231,7 +231,8 @@
 }
 
 bool register_may_act(const RegisterState& state, Moment now) {
-  return state.phase == OwnerPhase::holding && now >= state.acts_from && now - state.confirmed < register_lease(state);
+  return state.phase == OwnerPhase::holding && now >= state.acts_from &&
+         now - state.confirmed < lease_length(state.bound);
 }
 
 }  // namespace weldsail
--- a/src/core/consensus/register.hpp
+++ b/src/core/consensus/register.hpp
@@ -60,7 +60,8 @@
 /// Seats of a core are below this; epochs are round * stride + seat.
 inline constexpr std::uint64_t epoch_stride = 4096;
 
-Moment register_lease(const RegisterState& state);
+/// Time for which a confirmation lets an owner act.
+Moment lease_length(Moment bound);
 /// Seat of a disk in the core, 0 when it has none.
 std::uint32_t core_seat(const wire::Core& core, std::uint64_t disk);
 /// True for a disk of the set that counts until a change is over.
--- a/src/core/forwarding/paths/choose.cpp
+++ b/src/core/forwarding/paths/choose.cpp
@@ -23,13 +23,11 @@
   return age >= 1 ? 0 : static_cast<double>(track.others) * (1 - age);
 }
 
-bool holds(const wire::WorkerEntry& worker, const PathCall& call, bool& adapter_there) {
-  for (const auto& model : worker.models()) {
-    if (model.name() != call.model) continue;
-    adapter_there = call.adapter.empty() || std::ranges::find(model.adapters(), call.adapter) != model.adapters().end();
-    return true;
-  }
-  return false;
+/// True when a worker that holds the call's model holds its adapter, too.
+bool holds_adapter(const wire::WorkerEntry& worker, const PathCall& call) {
+  if (call.adapter.empty()) return true;
+  const auto model = std::ranges::find(worker.models(), call.model, &wire::HeldModel::name);
+  return std::ranges::find(model->adapters(), call.adapter) != model->adapters().end();
 }
 
 }  // namespace
@@ -45,11 +43,13 @@
   const auto pause = state.options.member.bound / pauses_per_bound;
   bool model_there = false;
   std::optional<std::pair<bool, double>> best;
-  for (const auto& worker : state.path.fleet.workers) {
-    if (worker.service() != carry.service || worker.draining()) continue;
-    bool adapter_there = true;
-    if (by_model && !holds(worker, carry.call, adapter_there)) continue;
-    if (!adapter_there) continue;
+  const auto& workers = state.path.fleet.workers;
+  const auto& candidates =
+      by_model ? workers.holders(carry.service, carry.call.model) : workers.of_service(carry.service);
+  choice.considered = candidates.size();
+  for (const auto& candidate : candidates) {
+    const auto& worker = *candidate;
+    if (worker.draining() || (by_model && !holds_adapter(worker, carry.call))) continue;
     model_there = true;
     const auto may_ask = carry_may_ask(carry, worker.identity(), pause, now);
     if (may_ask == MayAsk::never) continue;
--- a/src/core/forwarding/paths/finish.cpp
+++ b/src/core/forwarding/paths/finish.cpp
@@ -22,10 +22,6 @@
   state.path.carries.erase(carry.request);
 }
 
-std::string seconds_text(Moment milliseconds) {
-  return std::to_string(milliseconds / 1000) + "." + std::to_string(1000 + milliseconds % 1000).substr(1);
-}
-
 // These say that a request has not run and never will: only who knows that may say so.
 bool promises(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
@@ -39,6 +35,10 @@
 
 }  // namespace
 
+Header path_retry_after(Moment wait) {
+  return {"retry-after", std::to_string(wait / 1000) + "." + std::to_string(1000 + wait % 1000).substr(1)};
+}
+
 void path_finish(DataState& state, PathCarry& carry, Moment now, Effects& effects) {
   ++state.totals.finished;
   if (carry.answer_begun)
@@ -56,7 +56,7 @@
     const auto wait = std::min(left, state.options.member.bound / 3);
     const auto spread =
         wait == 0 ? 0 : static_cast<Moment>(mix(state.random ^ carry.request) % static_cast<std::uint64_t>(wait));
-    answer.headers.push_back({"retry-after", seconds_text(wait / 2 + spread / 2)});
+    answer.headers.push_back(path_retry_after(wait / 2 + spread / 2));
   }
   effects.push_back(std::move(answer));
   drop(state, carry, reason, now, effects);
--- a/src/core/forwarding/paths/leave.cpp
+++ b/src/core/forwarding/paths/leave.cpp
@@ -19,8 +19,7 @@
 void break_off(DataState& state, Moment now, Effects& effects) {
   while (!state.path.carries.empty()) {
     auto& carry = state.path.carries.begin()->second;
-    if (carry_open(carry)) effects.push_back(CancelPipe{carry.tries.back().pipe});
-    path_end_try(state, carry, TryPhase::failed, "leaving", now, effects);
+    path_cancel_try(state, carry, TryPhase::failed, "leaving", now, effects);
     if (carry_may_have_run(carry) || carry.answer_begun)
       path_break(state, carry, "leaving", now, effects);
     else
--- a/src/core/forwarding/paths/move.cpp
+++ b/src/core/forwarding/paths/move.cpp
@@ -109,8 +109,7 @@
   if (carry.tries.size() - sent >= unsent_most) return give_up("unreachable");
   if (sent > 0 && !budget_allows(state.path.budgets[carry.service], state.options.limits, path_nodes(state), now))
     return give_up("budget");
-  const bool had_unit = carry.waits;
-  if (had_unit) set_waits(state, carry, false, now);
+  set_waits(state, carry, false, now);
   if (!path_place(state, carry)) {
     if (may_have_run) return path_break(state, carry, "no_route", now, effects);
     const auto refusal = refuse_unplaced(state, 404, "no_route");
@@ -118,6 +117,7 @@
   }
   if (configuration_outdated(state, now)) return give_up("newer_configuration");
   const auto choice = path_choose(state, carry, now);
+  state.path.considered += choice.considered;
   if (choice.worker != nullptr) return open_try(state, carry, *choice.worker, now, effects);
   if (no_tries && !choice.later) return give_up("tries");
   const bool ends_soon =
@@ -169,14 +169,20 @@
   }
 }
 
+void path_cancel_try(DataState& state, PathCarry& carry, TryPhase phase, const std::string& reason, Moment now,
+                     Effects& effects) {
+  if (!carry_open(carry)) return;
+  effects.push_back(CancelPipe{carry.tries.back().pipe});
+  path_end_try(state, carry, phase, reason, now, effects);
+}
+
 void path_gone(DataState& state, std::uint64_t request, Moment now, Effects& effects) {
   state.path.early.erase(request);
   const auto found = state.path.carries.find(request);
   if (found == state.path.carries.end()) return;
   auto& carry = found->second;
   set_waits(state, carry, false, now);
-  if (carry_open(carry)) effects.push_back(CancelPipe{carry.tries.back().pipe});
-  path_end_try(state, carry, TryPhase::failed, "caller_gone", now, effects);
+  path_cancel_try(state, carry, TryPhase::failed, "caller_gone", now, effects);
   ++state.totals.gone;
   state.path.carries.erase(found);
 }
--- a/src/core/forwarding/paths/path.hpp
+++ b/src/core/forwarding/paths/path.hpp
@@ -40,12 +40,19 @@
   Lack lack = Lack::worker;
   /// No worker can be had now, but one that is there may take the request a little later.
   bool later = false;
+  /// Workers that were looked at.
+  std::uint64_t considered = 0;
 };
 /// The worker with the least expected time to the first byte, or what is lacking.
 Choice path_choose(const DataState& state, const PathCarry& carry, Moment now);
 /// Ends the open try.
 void path_end_try(DataState& state, PathCarry& carry, TryPhase phase, const std::string& reason, Moment now,
                   Effects& effects);
+/// Tells a refused caller, in seconds, when to come back.
+Header path_retry_after(Moment wait);
+/// Closes the connection of the open try, if there is one, and ends the try.
+void path_cancel_try(DataState& state, PathCarry& carry, TryPhase phase, const std::string& reason, Moment now,
+                     Effects& effects);
 /// Gives the final answer and drops the request.
 void path_finish(DataState& state, PathCarry& carry, Moment now, Effects& effects);
 /// Refuses a request that has not run.
--- a/src/core/forwarding/paths/pipe.cpp
+++ b/src/core/forwarding/paths/pipe.cpp
@@ -27,12 +27,11 @@
   const bool success = event.status >= 200 && event.status < 300;
   if (!head.same_request || (success && !head.sealed)) {
     // An answer to something else, or nobody's: nothing of it may reach the caller.
-    effects.push_back(CancelPipe{carry.tries.back().pipe});
-    return path_end_try(state, carry, TryPhase::broken, "foreign_answer", now, effects);
+    return path_cancel_try(state, carry, TryPhase::broken, "foreign_answer", now, effects);
   }
   if (carry.answer_begun && (!success || head.not_run)) {
-    effects.push_back(CancelPipe{carry.tries.back().pipe});
-    return path_end_try(state, carry, head.not_run ? TryPhase::not_run : TryPhase::failed, "not_resumed", now, effects);
+    return path_cancel_try(state, carry, head.not_run ? TryPhase::not_run : TryPhase::failed, "not_resumed", now,
+                           effects);
   }
   carry.head = std::move(head);
 }
@@ -74,13 +73,11 @@
     carry.tries.back().last_bytes = now;
     state.path.tracks[carry.tries.back().worker].last_bytes = now;
     if (carry.answer.size() <= state.options.held_limit / 4) return;
-    effects.push_back(CancelPipe{carry.tries.back().pipe});
-    return path_end_try(state, carry, TryPhase::broken, "answer_too_long", now, effects);
+    return path_cancel_try(state, carry, TryPhase::broken, "answer_too_long", now, effects);
   }
   auto whole = events_take(carry.reader, event.bytes);
   if (carry.reader.disordered) {
-    effects.push_back(CancelPipe{carry.tries.back().pipe});
-    return path_end_try(state, carry, TryPhase::broken, "events_out_of_order", now, effects);
+    return path_cancel_try(state, carry, TryPhase::broken, "events_out_of_order", now, effects);
   }
   if (!whole.empty()) {
     if (!carry.answer_begun) {
--- a/src/core/forwarding/paths/report.cpp
+++ b/src/core/forwarding/paths/report.cpp
@@ -44,13 +44,11 @@
 void drop_gone(DataState& state, Moment now) {
   auto& path = state.path;
   if (!path.config || !path.fleet.known) return;
-  std::set<std::string> workers;
-  for (const auto& worker : path.fleet.workers) workers.insert(worker.identity());
   const auto units = path_units(*path.config);
   const auto rests = [&](Moment last) { return now - last > counters_kept_bounds * state.options.member.bound; };
   for (auto& [unit, counters] : path.counters)
     std::erase_if(counters, [&, configured = units.contains(unit)](const auto& item) {
-      return rests(item.second.counted) && !(configured && workers.contains(item.first));
+      return rests(item.second.counted) && !(configured && path.fleet.workers.find(item.first) != nullptr);
     });
   std::erase_if(path.counters, [](const auto& item) { return item.second.empty(); });
   std::erase_if(path.units, [&](const auto& item) {
--- a/src/core/forwarding/paths/state.hpp
+++ b/src/core/forwarding/paths/state.hpp
@@ -20,6 +20,8 @@
   std::map<std::string, PathBudget> budgets;
   std::map<std::string, UnitUse> units;
   std::map<std::string, std::map<std::string, UnitCounter>> counters;
+  /// Workers that were looked at to place requests.
+  std::uint64_t considered = 0;
   std::map<std::string, std::uint64_t> outcomes;
   /// Requests that were answered when they came, without being taken up, by status.
   std::map<int, std::uint64_t> refusals;
--- a/src/core/forwarding/paths/take.cpp
+++ b/src/core/forwarding/paths/take.cpp
@@ -34,10 +34,7 @@
 
 void answer_plain(std::uint64_t request, int status, Moment retry_after, Effects& effects) {
   std::vector<Header> headers;
-  if (retry_after > 0) {
-    auto text = std::to_string(retry_after / 1000) + "." + std::to_string(1000 + retry_after % 1000).substr(1);
-    headers.push_back({"retry-after", std::move(text)});
-  }
+  if (retry_after > 0) headers.push_back(path_retry_after(retry_after));
   effects.push_back(Answer{request, status, std::move(headers), {}});
 }
 
--- a/src/core/forwarding/paths/watch.cpp
+++ b/src/core/forwarding/paths/watch.cpp
@@ -34,8 +34,7 @@
     const auto nodes = path_nodes(state);
     if (!budget_allows(state.path.budgets[carry.service], state.options.limits, nodes, now)) continue;
     if (path_choose(state, carry, now).worker == nullptr) continue;
-    effects.push_back(CancelPipe{carry.tries.back().pipe});
-    path_end_try(state, carry, TryPhase::broken, "worker_silent", now, effects);
+    path_cancel_try(state, carry, TryPhase::broken, "worker_silent", now, effects);
     path_move(state, request, now, effects);
   }
 }
@@ -46,10 +45,7 @@
     if (now >= carry.due) late.push_back(request);
   for (const auto request : late) {
     auto& carry = state.path.carries.at(request);
-    if (carry_open(carry)) {
-      effects.push_back(CancelPipe{carry.tries.back().pipe});
-      path_end_try(state, carry, TryPhase::failed, "past_due", now, effects);
-    }
+    path_cancel_try(state, carry, TryPhase::failed, "past_due", now, effects);
     path_move(state, request, now, effects);
   }
 }
@@ -86,7 +82,8 @@
   if (!list_pipe(path.list, state.options.limits, *state.options.dialect, state.numbers, event, now, effects)) return;
   if (path.fleet.known && path.fleet.as_of >= path.list.asked) return;
   // The keeper is silent: what the platform says itself counts, and the keeper's next word is asked for whole.
-  path.fleet.workers = path.list.workers;
+  path.fleet.workers.clear();
+  for (const auto& worker : path.list.workers) path.fleet.workers.put(worker);
   path.fleet.as_of = path.list.asked;
   path.fleet.known = true;
   path.fleet.version = 0;
@@ -105,8 +102,7 @@
     const auto& track = item.second;
     return track.open == 0 &&
            now - std::max(track.last_bytes, track.avoid_until) > track_kept_bounds * state.options.member.bound &&
-           std::ranges::none_of(state.path.fleet.workers,
-                                [&](const auto& worker) { return worker.identity() == item.first; });
+           state.path.fleet.workers.find(item.first) == nullptr;
   });
 }
 
--- a/src/core/operations/datametrics.cpp
+++ b/src/core/operations/datametrics.cpp
@@ -36,6 +36,8 @@
   text.sample(state.path.early.size());
   text.gauge("attempts_open", "Attempts at workers that are under way.");
   text.sample(state.pipes.size() + state.path.pipes.size());
+  text.counter("workers_considered_total", "Workers that were looked at to place requests by host and path.");
+  text.sample(state.path.considered);
   text.gauge("request_bytes", "Memory of requests in hand, with the answers that wait for their end.");
   text.sample(held_bytes + early_bytes);
 }
@@ -44,12 +46,11 @@
   const auto& fleet = state.path.fleet;
   const auto usable = std::ranges::count_if(
       state.watch.views, [&](const auto& item) { return worker_usable(state.watch, item.second, now); });
-  const auto draining = std::ranges::count_if(fleet.workers, &wire::WorkerEntry::draining);
+  const auto draining = fleet.workers.draining();
   text.gauge("workers", "Workers that this node knows, by state.");
-  text.sample(static_cast<std::uint64_t>(usable) + fleet.workers.size() - static_cast<std::uint64_t>(draining),
-              {{"state", "usable"}});
+  text.sample(static_cast<std::uint64_t>(usable) + fleet.workers.size() - draining, {{"state", "usable"}});
   text.sample(state.watch.views.size() - static_cast<std::uint64_t>(usable), {{"state", "unusable"}});
-  text.sample(static_cast<std::uint64_t>(draining), {{"state", "draining"}});
+  text.sample(draining, {{"state", "draining"}});
   text.gauge("placement_version", "Version of the placement known here.").sample(state.placement_version);
   if (!fleet.known) return;
   text.gauge("fleet_view_version", "Version of the view of all workers.").sample(fleet.version);
--- a/src/core/placement/view.cpp
+++ b/src/core/placement/view.cpp
@@ -79,22 +79,21 @@
 void advance(FleetKnown& known, Moment as_of) {
   if (as_of <= known.as_of) return;
   const auto passed = static_cast<std::uint64_t>(as_of - known.as_of);
-  for (auto& worker : known.workers) {
+  const auto timed = known.workers.timed();
+  for (const auto& identity : timed) {
+    auto worker = *known.workers.find(identity);
     if (worker.remaining_ms() > 0)
       worker.set_remaining_ms(std::max<std::uint64_t>(worker.remaining_ms(), passed + 1) - passed);
     if (worker.warm_ms() > 0) worker.set_warm_ms(std::max<std::uint64_t>(worker.warm_ms(), passed) - passed);
+    known.workers.put(worker);
   }
   known.as_of = as_of;
 }
 
 void apply(FleetKnown& known, const wire::FleetView& view) {
   if (view.base() == 0) known.workers.clear();
-  std::erase_if(known.workers, [&](const wire::WorkerEntry& worker) {
-    return std::ranges::find(view.gone(), worker.identity()) != view.gone().end() ||
-           std::ranges::any_of(view.workers(), [&](const auto& item) { return item.identity() == worker.identity(); });
-  });
-  for (const auto& worker : view.workers()) known.workers.push_back(worker);
-  std::ranges::sort(known.workers, {}, &wire::WorkerEntry::identity);
+  for (const auto& identity : view.gone()) known.workers.remove(identity);
+  for (const auto& worker : view.workers()) known.workers.put(worker);
 }
 
 }  // namespace
--- a/src/core/placement/view.hpp
+++ b/src/core/placement/view.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include "core/consensus/duty.hpp"
+#include "core/placement/workerindex.hpp"
 
 namespace weldsail {
 
@@ -25,8 +26,8 @@
   bool known = false;
   std::uint64_t term = 0;
   std::uint64_t version = 0;
-  /// Sorted by identity; what is left of the times counts from `as_of`.
-  std::vector<wire::WorkerEntry> workers;
+  /// What is left of their times counts from `as_of`.
+  WorkerIndex workers;
   /// The platform's list was as the view says at this moment.
   Moment as_of = 0;
   std::uint64_t data_nodes = 1;
--- a/test/sim/placingfleet.cpp
+++ b/test/sim/placingfleet.cpp
@@ -130,7 +130,8 @@
 
 bool PlacingFleet::begin(AskedModel& item) {
   std::vector<const wire::WorkerEntry*> fits;
-  for (const auto& worker : known.workers) {
+  for (const auto& [identity, entry] : known.workers.all()) {
+    const auto& worker = *entry;
     const auto avoided = avoided_.find(worker.identity());
     if (worker.draining() || (avoided != avoided_.end() && world.now() < avoided->second)) continue;
     for (const auto& model : worker.models())
--- a/test/unit/listing.cpp
+++ b/test/unit/listing.cpp
@@ -142,13 +142,14 @@
   CHECK(pair.set({worker("a", false), worker("b", true, 2000)}, 2000));
   CHECK(pair.sent == 4);
   REQUIRE(pair.known.workers.size() == 2);
-  CHECK(pair.known.workers[1].draining());
+  REQUIRE(pair.known.workers.find("b") != nullptr);
+  CHECK(pair.known.workers.find("b")->draining());
   CHECK_FALSE(pair.set({worker("a", false), worker("b", true, 1500)}, 2500));
   Effects beat;
   fleet_beat(pair.keeper, pair.keeper_member, 2600, beat);
   CHECK_FALSE(pair.carry(beat, 2600));
   CHECK(pair.known.as_of == 2500);
-  CHECK(pair.known.workers[1].remaining_ms() == 1500);
+  CHECK(pair.known.workers.find("b")->remaining_ms() == 1500);
 
   CHECK_FALSE(pair.set({worker("a", true)}, 3000, true));
   CHECK_FALSE(pair.known.behind);
@@ -163,7 +164,8 @@
   CHECK(pair.carry(answer, 3200));
   CHECK_FALSE(pair.known.behind);
   REQUIRE(pair.known.workers.size() == 2);
-  CHECK(pair.known.workers[0].draining());
+  REQUIRE(pair.known.workers.find("a") != nullptr);
+  CHECK(pair.known.workers.find("a")->draining());
   auto old = pair.known;
   wire::FleetView late;
   late.set_term(6);
