Bulk: a step of the lane costs what it touches, not what waits

Cause: bytes of the lane, of the window and of unfinished messages were summed up anew at each put, piece and acknowledgement, and overdue peers and peers in turn were found by a walk over all peers.

Mend: running sums, a set of ready peers, and orders by due moment, by sending and by hearing, kept with each change. window_expire had one caller left and stands in window_expire_parts now. Senders are forgotten when they are due, no longer in a walk once a bound.

Random sequences compare sums and orders with a recount at each step.

--- a/src/core/bulk/assembly.hpp
+++ b/src/core/bulk/assembly.hpp
@@ -1,7 +1,9 @@
 #pragma once
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 
 #include "core/event.hpp"
 
@@ -21,9 +23,15 @@
 struct AssemblyState {
   Moment bound = 3000;
   std::map<std::uint64_t, Assembly> senders;
-  Moment next_expiry = 0;
+  /// Kept with each change of `senders`: their bytes, and the order in which they were heard last, of those whose
+  /// message is unfinished and of the others.
+  std::size_t bytes = 0;
+  std::set<std::pair<Moment, std::uint64_t>> unfinished;
+  std::set<std::pair<Moment, std::uint64_t>> finished;
   /// Messages that were dropped unfinished, from the start of the process.
   std::uint64_t dropped = 0;
+  /// Senders that were looked at, from the start of the process.
+  std::uint64_t visits = 0;
 };
 
 /// What a piece led to.
@@ -34,7 +42,7 @@
 };
 
 PieceTaken assembly_take(AssemblyState& state, std::uint64_t sender, const wire::BulkPiece& piece, Moment now);
-/// Forgets senders that have long been silent; looks for them once a bound.
+/// Forgets senders that have long been silent.
 void assembly_expire(AssemblyState& state, Moment now);
 std::size_t assembly_bytes(const AssemblyState& state);
 
--- a/src/core/bulk/lane.cpp
+++ b/src/core/bulk/lane.cpp
@@ -20,44 +20,76 @@
 
 Moment longest_patience(const LaneState& state) { return first_patience(state) << patience_doublings; }
 
-std::size_t peer_bytes(const BulkPeer& peer) {
-  std::size_t bytes = 0;
-  for (const auto& message : peer.queue) bytes += message.bytes.size();
-  return bytes;
-}
-
 /// True where the lane has room for a message; what is alone always has.
 bool fits(const LaneState& state, std::uint64_t node, std::size_t bytes) {
-  const auto total = lane_bytes(state);
-  if (total > 0 && total + bytes > lane_most) return false;
+  if (state.bytes > 0 && state.bytes + bytes > lane_most) return false;
   const auto found = state.peers.find(node);
-  return found == state.peers.end() || peer_bytes(found->second) + bytes <= peer_most;
+  return found == state.peers.end() || found->second.bytes + bytes <= peer_most;
+}
+
+/// Takes messages that are about to be removed out of the sums.
+void uncount(LaneState& state, BulkPeer& peer, std::size_t messages, std::size_t bytes) {
+  state.messages -= messages;
+  state.bytes -= bytes;
+  peer.bytes -= bytes;
+}
+
+/// No acknowledgement of the peer is awaited any more: it may be sent a piece.
+void end_awaiting(LaneState& state, std::uint64_t node, BulkPeer& peer) {
+  if (!peer.awaiting) return;
+  peer.awaiting = false;
+  state.due.erase({peer.sent + peer.patience, node});
+  state.ready.insert(node);
+}
+
+void begin_awaiting(LaneState& state, std::uint64_t node, BulkPeer& peer, Moment now) {
+  peer.awaiting = true;
+  peer.sent = now;
+  state.ready.erase(node);
+  state.due.emplace(now + peer.patience, node);
+}
+
+void forget_peer(LaneState& state, std::uint64_t node) {
+  auto& peer = state.peers.at(node);
+  end_awaiting(state, node, peer);
+  uncount(state, peer, peer.queue.size(), peer.bytes);
+  state.ready.erase(node);
+  state.peers.erase(node);
 }
 
 /// Drops messages that the newer one makes needless and that haven't begun.
 void supersede(LaneState& state, BulkPeer& peer, const BulkMessage& newer) {
   if (newer.topic.empty() || !newer.supersedes) return;
-  state.counters.superseded += std::erase_if(
-      peer.queue, [&](const BulkMessage& message) { return message.number == 0 && message.topic == newer.topic; });
+  state.counters.superseded += std::erase_if(peer.queue, [&](const BulkMessage& message) {
+    ++state.counters.visits;
+    if (message.number != 0 || message.topic != newer.topic) return false;
+    uncount(state, peer, 1, message.bytes.size());
+    return true;
+  });
+}
+
+bool holds_same(LaneState& state, const BulkPeer& peer, const BulkMessage& newer) {
+  return std::ranges::any_of(peer.queue, [&](const BulkMessage& message) {
+    ++state.counters.visits;
+    return message.bytes == newer.bytes;
+  });
 }
 
 /// Makes the next message the first one; the peer is forgotten when there is none.
 void end_first(LaneState& state, std::uint64_t node) {
   auto& peer = state.peers.at(node);
+  end_awaiting(state, node, peer);
+  uncount(state, peer, 1, peer.queue.front().bytes.size());
   peer.queue.pop_front();
   peer.acknowledged = 0;
-  peer.awaiting = false;
   peer.tries = 0;
-  if (peer.queue.empty()) state.peers.erase(node);
+  if (peer.queue.empty()) forget_peer(state, node);
 }
 
-/// Ready peers, from the one after that which was served last.
-std::vector<std::uint64_t> peers_in_turn(const LaneState& state) {
-  std::vector<std::uint64_t> nodes;
-  for (const auto& [node, peer] : state.peers)
-    if (!peer.awaiting) nodes.push_back(node);
-  std::ranges::rotate(nodes, std::ranges::upper_bound(nodes, state.turn));
-  return nodes;
+/// The next ready peer after the one that was served last.
+std::uint64_t next_in_turn(const LaneState& state) {
+  const auto next = state.ready.upper_bound(state.turn);
+  return next == state.ready.end() ? *state.ready.begin() : *next;
 }
 
 wire::BulkPiece next_piece(LaneState& state, BulkPeer& peer, std::size_t share, Moment now) {
@@ -82,13 +114,12 @@
 
 void lane_put(LaneState& state, std::uint64_t node, const std::string& address, BulkMessage message) {
   if (const auto found = state.peers.find(node); found != state.peers.end()) {
-    auto& queue = found->second.queue;
-    if (std::ranges::find(queue, message.bytes, &BulkMessage::bytes) != queue.end()) {
+    if (holds_same(state, found->second, message)) {
       ++state.counters.duplicates;
       return;
     }
     supersede(state, found->second, message);
-    if (queue.empty()) state.peers.erase(found);
+    if (found->second.queue.empty()) forget_peer(state, node);
   }
   if (!fits(state, node, message.bytes.size())) {
     ++state.counters.given_up;
@@ -96,7 +127,13 @@
   }
   auto& peer = state.peers[node];
   peer.address = address;
-  if (peer.queue.empty()) peer.patience = first_patience(state);
+  if (peer.queue.empty()) {
+    peer.patience = first_patience(state);
+    state.ready.insert(node);
+  }
+  ++state.messages;
+  state.bytes += message.bytes.size();
+  peer.bytes += message.bytes.size();
   peer.queue.push_back(std::move(message));
 }
 
@@ -122,10 +159,11 @@
   window_release(window, BulkUse::piece, node);
   // What was sent again may be acknowledged for its first sending, which tells no round trip: the patience stays as
   // long as it has become.
-  if (peer.awaiting && peer.tries == 1)
+  const bool tells_round_trip = peer.awaiting && peer.tries == 1;
+  end_awaiting(state, node, peer);
+  if (tells_round_trip)
     peer.patience = std::clamp(2 * (now - peer.sent), first_patience(state), longest_patience(state));
   peer.acknowledged = acknowledged.received();
-  peer.awaiting = false;
   peer.tries = 0;
   if (peer.acknowledged < message.bytes.size()) return;
   ++state.counters.messages_sent;
@@ -134,9 +172,11 @@
 
 std::vector<std::uint64_t> lane_expire(LaneState& state, SendWindow& window, Moment now) {
   std::vector<std::uint64_t> overdue;
-  for (auto& [node, peer] : state.peers) {
-    if (!peer.awaiting || now - peer.sent < peer.patience) continue;
-    peer.awaiting = false;
+  while (!state.due.empty() && state.due.begin()->first <= now) {
+    ++state.counters.visits;
+    const auto node = state.due.begin()->second;
+    auto& peer = state.peers.at(node);
+    end_awaiting(state, node, peer);
     peer.patience = std::min(2 * peer.patience, longest_patience(state));
     window_release(window, BulkUse::piece, node);
     overdue.push_back(node);
@@ -151,21 +191,22 @@
   if (found == state.peers.end()) return;
   state.counters.given_up += found->second.queue.size();
   window_release(window, BulkUse::piece, node);
-  state.peers.erase(found);
+  forget_peer(state, node);
 }
 
 std::vector<PieceToSend> lane_send(LaneState& state, SendWindow& window, Moment now) {
   std::vector<PieceToSend> pieces;
   const auto limit = window_limit(window);
   const auto share = std::clamp(limit / std::max<std::size_t>(1, state.peers.size()), piece_least, piece_most);
-  for (const auto node : peers_in_turn(state)) {
+  while (!state.ready.empty()) {
+    ++state.counters.visits;
+    const auto node = next_in_turn(state);
     auto& peer = state.peers.at(node);
     const auto bytes = std::min(share, peer.queue.front().bytes.size() - peer.acknowledged);
     if (window_bytes(window, BulkUse::piece) + bytes > limit) break;
     window_take(window, BulkUse::piece, node, bytes, now);
     pieces.push_back({node, peer.address, next_piece(state, peer, share, now)});
-    peer.awaiting = true;
-    peer.sent = now;
+    begin_awaiting(state, node, peer, now);
     state.turn = node;
     ++state.counters.pieces_sent;
     if (++peer.tries > 1) ++state.counters.pieces_repeated;
@@ -174,16 +215,8 @@
   return pieces;
 }
 
-std::size_t lane_messages(const LaneState& state) {
-  std::size_t messages = 0;
-  for (const auto& [node, peer] : state.peers) messages += peer.queue.size();
-  return messages;
-}
+std::size_t lane_messages(const LaneState& state) { return state.messages; }
 
-std::size_t lane_bytes(const LaneState& state) {
-  std::size_t bytes = 0;
-  for (const auto& [node, peer] : state.peers) bytes += peer_bytes(peer);
-  return bytes;
-}
+std::size_t lane_bytes(const LaneState& state) { return state.bytes; }
 
 }  // namespace weldsail
--- a/src/core/bulk/lane.hpp
+++ b/src/core/bulk/lane.hpp
@@ -1,7 +1,9 @@
 #pragma once
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 
 #include "core/bulk/window.hpp"
 
@@ -24,6 +26,8 @@
 struct BulkPeer {
   std::string address;
   std::deque<BulkMessage> queue;
+  /// Bytes of the queue, kept with each change of it.
+  std::size_t bytes = 0;
   /// Bytes of the first message that the peer has acknowledged.
   std::size_t acknowledged = 0;
   /// A piece has been sent whose acknowledgement is awaited, for so long.
@@ -46,12 +50,20 @@
   std::uint64_t given_up = 0;
   /// Broken invariants; must stay 0.
   std::uint64_t violations = 0;
+  /// Peers and messages that were looked at.
+  std::uint64_t visits = 0;
 };
 
 /// Large messages on their way to other processes, in pieces.
 struct LaneState {
   Moment bound = 3000;
   std::map<std::uint64_t, BulkPeer> peers;
+  /// Kept with each change of `peers`: their messages and bytes, those that may be sent a piece, and by when the
+  /// acknowledgements of the others are due.
+  std::size_t messages = 0;
+  std::size_t bytes = 0;
+  std::set<std::uint64_t> ready;
+  std::set<std::pair<Moment, std::uint64_t>> due;
   std::uint64_t next_number = 1;
   /// The peer that was served last.
   std::uint64_t turn = 0;
--- a/src/core/bulk/window.hpp
+++ b/src/core/bulk/window.hpp
@@ -1,6 +1,9 @@
 #pragma once
+#include <array>
 #include <cstdint>
 #include <map>
+#include <set>
+#include <tuple>
 #include <utility>
 
 #include "core/event.hpp"
@@ -16,7 +19,8 @@
 inline constexpr std::size_t pieces_window_most = 3 * piece_most;
 
 /// What a process sends in bulk.
-enum class BulkUse { piece, part };
+enum class BulkUse : std::uint8_t { piece, part };
+inline constexpr std::size_t bulk_uses = 2;
 
 /// The bulk bytes that each peer hasn't acknowledged yet, by what they are.
 struct SendWindow {
@@ -24,13 +28,21 @@
     std::size_t bytes = 0;
     Moment sent = 0;
   };
+  /// What is under way of one use.
+  struct Sum {
+    std::size_t bytes = 0;
+    std::size_t peers = 0;
+  };
   std::map<std::pair<BulkUse, std::uint64_t>, UnderWay> peers;
+  /// Kept with each change of `peers`: the sums, and the order in which the bytes were sent.
+  std::array<Sum, bulk_uses> sums;
+  std::set<std::tuple<BulkUse, Moment, std::uint64_t>> by_sent;
+  /// Entries that were looked at, from the start of the process.
+  std::uint64_t visits = 0;
 };
 
 void window_take(SendWindow& window, BulkUse use, std::uint64_t node, std::size_t bytes, Moment now);
 void window_release(SendWindow& window, BulkUse use, std::uint64_t node);
-/// Counts nothing of a use any more that was sent up to the moment.
-void window_expire(SendWindow& window, BulkUse use, Moment sent);
 /// Counts no part of a value any more whose asker has been silent for longer than a next ask takes.
 void window_expire_parts(SendWindow& window, Moment bound, Moment now);
 std::size_t window_bytes(const SendWindow& window);
