Bulk: consensus and operators' changes go before what is told to many

Cause: the lane had one class. Views of the fleet to 200 data nodes shrank all pieces to 1 KiB and took their turns before an Accept, which an owner waits for three seconds. Peers that answered nothing held the whole window.

Mend: two priorities. Accepts, promises, copies of registers and operators' bodies are urgent; urgent pieces go first, one of four is ordinary where both wait, each priority shares its part of the window among its own peers, and ordinary pieces leave a third of the window free, or three quarters while an urgent message waits. To one peer urgent messages overtake ordinary ones that haven't begun, three at most before one ordinary.

Ruled out: restarting a view that has begun to the same peer (its bytes go twice, and under a stream of changes again and again); it is sent to its end as an urgent one instead.

--- a/src/core/bulk/bulk.cpp
+++ b/src/core/bulk/bulk.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "core/bulk/topic.hpp"
 #include "core/json.hpp"
 
 namespace weldsail {
@@ -20,7 +19,8 @@
 BulkMessage bulk_message(const wire::Envelope& envelope, Moment now) {
   auto topic = message_topic(envelope);
   const bool may_wait = envelope.has_counter_report() || envelope.has_fleet_ask();
-  return {std::move(topic.name), topic.supersedes, envelope.SerializeAsString(), may_wait, now, 0};
+  return {std::move(topic.name),        topic.supersedes, message_priority(envelope),
+          envelope.SerializeAsString(), may_wait,         now};
 }
 
 void take_large(LaneState& lane, const MemberState& member, Moment now, Effects& effects) {
--- a/src/core/bulk/lane.hpp
+++ b/src/core/bulk/lane.hpp
@@ -1,43 +1,15 @@
 #pragma once
-#include <deque>
+#include <array>
 #include <map>
 #include <set>
 #include <string>
 #include <utility>
 
+#include "core/bulk/queue.hpp"
 #include "core/bulk/window.hpp"
 
 namespace weldsail {
 
-/// A large message that waits for its turn or is under way.
-struct BulkMessage {
-  /// What it is about; see `MessageTopic`.
-  std::string topic;
-  bool supersedes = false;
-  /// The serialized envelope.
-  std::string bytes;
-  bool may_wait = false;
-  Moment queued = 0;
-  /// Set by the lane when the first piece is sent; 0 until then.
-  std::uint64_t number = 0;
-};
-
-/// The large messages to one life of a process; the first is under way, one piece at a time.
-struct BulkPeer {
-  std::string address;
-  std::deque<BulkMessage> queue;
-  /// Bytes of the queue, kept with each change of it.
-  std::size_t bytes = 0;
-  /// Bytes of the first message that the peer has acknowledged.
-  std::size_t acknowledged = 0;
-  /// A piece has been sent whose acknowledgement is awaited, for so long.
-  bool awaiting = false;
-  Moment sent = 0;
-  Moment patience = 0;
-  /// Times that the piece after `acknowledged` was sent.
-  std::uint64_t tries = 0;
-};
-
 /// What a lane counts from the start of the process.
 struct LaneCounters {
   std::uint64_t pieces_sent = 0;
@@ -54,19 +26,28 @@
   std::uint64_t visits = 0;
 };
 
+/// The peers of one priority.
+struct LanePeers {
+  std::size_t count = 0;
+  /// Those that may be sent a piece.
+  std::set<std::uint64_t> ready;
+  /// The peer that was served last.
+  std::uint64_t turn = 0;
+};
+
 /// Large messages on their way to other processes, in pieces.
 struct LaneState {
   Moment bound = 3000;
   std::map<std::uint64_t, BulkPeer> peers;
-  /// Kept with each change of `peers`: their messages and bytes, those that may be sent a piece, and by when the
-  /// acknowledgements of the others are due.
+  /// Kept with each change of `peers`: their messages and bytes, the peers of each priority, and by when the
+  /// acknowledgements that are awaited are due.
   std::size_t messages = 0;
   std::size_t bytes = 0;
-  std::set<std::uint64_t> ready;
+  std::array<LanePeers, bulk_priorities> classes;
   std::set<std::pair<Moment, std::uint64_t>> due;
   std::uint64_t next_number = 1;
-  /// The peer that was served last.
-  std::uint64_t turn = 0;
+  /// Urgent pieces that were sent since the last ordinary one.
+  std::size_t urgent_in_a_row = 0;
   LaneCounters counters;
 };
 
@@ -88,7 +69,8 @@
 std::vector<std::uint64_t> lane_expire(LaneState& state, SendWindow& window, Moment now);
 /// Drops all that waits for a peer.
 void lane_give_up(LaneState& state, SendWindow& window, std::uint64_t node);
-/// The pieces that the window has room for, peers in turn; none for peers of which an acknowledgement is awaited.
+/// The pieces that the window has room for, urgent ones first, peers in turn; none for peers of which an
+/// acknowledgement is awaited.
 std::vector<PieceToSend> lane_send(LaneState& state, SendWindow& window, Moment now);
 
 std::size_t lane_messages(const LaneState& state);
--- /dev/null
+++ b/src/core/bulk/queue.cpp
@@ -0,0 +1,64 @@
+#include "core/bulk/queue.hpp"
+
+#include <algorithm>
+
+namespace weldsail {
+namespace {
+
+void uncount(BulkPeer& peer, const BulkMessage& message) {
+  peer.bytes -= message.bytes.size();
+  if (message.priority == BulkPriority::urgent) --peer.urgent;
+}
+
+/// True while the first message is under way.
+bool has_begun(const BulkPeer& peer) { return !peer.queue.empty() && peer.queue.front().number != 0; }
+
+}  // namespace
+
+BulkPriority peer_priority(const BulkPeer& peer) {
+  return peer.urgent > 0 ? BulkPriority::urgent : BulkPriority::ordinary;
+}
+
+bool peer_holds(const BulkPeer& peer, const BulkMessage& message) {
+  return std::ranges::find(peer.queue, message.bytes, &BulkMessage::bytes) != peer.queue.end();
+}
+
+std::size_t peer_supersede(BulkPeer& peer, const BulkMessage& newer) {
+  if (newer.topic.empty() || !newer.supersedes) return 0;
+  return std::erase_if(peer.queue, [&](const BulkMessage& message) {
+    if (message.number != 0 || message.topic != newer.topic) return false;
+    uncount(peer, message);
+    return true;
+  });
+}
+
+void peer_put(BulkPeer& peer, BulkMessage message) {
+  const bool urgent = message.priority == BulkPriority::urgent;
+  const bool behind_ordinary = has_begun(peer) && peer.queue.front().priority == BulkPriority::ordinary;
+  const auto place = urgent ? peer.urgent + (behind_ordinary ? 1 : 0) : peer.queue.size();
+  peer.bytes += message.bytes.size();
+  if (urgent) ++peer.urgent;
+  peer.queue.insert(peer.queue.begin() + static_cast<std::ptrdiff_t>(place), std::move(message));
+}
+
+std::size_t peer_next(const BulkPeer& peer) {
+  const bool ordinary_waits = peer.urgent < peer.queue.size();
+  if (has_begun(peer) || !ordinary_waits || peer.urgent_in_a_row < urgent_in_a_row_most) return 0;
+  return peer.urgent;
+}
+
+void peer_bring_forward(BulkPeer& peer, std::size_t place) {
+  const auto next = peer.queue.begin() + static_cast<std::ptrdiff_t>(place);
+  std::rotate(peer.queue.begin(), next, next + 1);
+}
+
+void peer_end_first(BulkPeer& peer) {
+  const auto& message = peer.queue.front();
+  peer.urgent_in_a_row = message.priority == BulkPriority::urgent ? peer.urgent_in_a_row + 1 : 0;
+  uncount(peer, message);
+  peer.queue.pop_front();
+  peer.acknowledged = 0;
+  peer.tries = 0;
+}
+
+}  // namespace weldsail
--- /dev/null
+++ b/src/core/bulk/queue.hpp
@@ -0,0 +1,58 @@
+#pragma once
+#include <deque>
+#include <string>
+
+#include "core/bulk/topic.hpp"
+
+namespace weldsail {
+
+/// A large message that waits for its turn or is under way.
+struct BulkMessage {
+  /// What it is about; see `MessageTopic`.
+  std::string topic;
+  bool supersedes = false;
+  BulkPriority priority = BulkPriority::ordinary;
+  /// The serialized envelope.
+  std::string bytes;
+  bool may_wait = false;
+  Moment queued = 0;
+  /// Set by the lane when the first piece is sent; 0 until then.
+  std::uint64_t number = 0;
+};
+
+/// The large messages to one life of a process; the first may be under way, one piece at a time. Behind that one,
+/// urgent messages stand before ordinary ones.
+struct BulkPeer {
+  std::string address;
+  std::deque<BulkMessage> queue;
+  /// Kept with each change of the queue: its bytes, and how many of its messages are urgent.
+  std::size_t bytes = 0;
+  std::size_t urgent = 0;
+  /// Urgent messages that were sent since the last ordinary one.
+  std::size_t urgent_in_a_row = 0;
+  /// Bytes of the first message that the peer has acknowledged.
+  std::size_t acknowledged = 0;
+  /// A piece has been sent whose acknowledgement is awaited, for so long.
+  bool awaiting = false;
+  Moment sent = 0;
+  Moment patience = 0;
+  /// Times that the piece after `acknowledged` was sent.
+  std::uint64_t tries = 0;
+};
+
+/// Urgent while an urgent message waits: an ordinary one that is under way before it has to be got over with.
+BulkPriority peer_priority(const BulkPeer& peer);
+/// True when the same bytes wait or are under way.
+bool peer_holds(const BulkPeer& peer, const BulkMessage& message);
+/// Drops messages that the newer one makes needless and that haven't begun; tells how many.
+std::size_t peer_supersede(BulkPeer& peer, const BulkMessage& newer);
+/// Adds a message behind those of its priority.
+void peer_put(BulkPeer& peer, BulkMessage message);
+/// The place of the message of which a piece is sent next: an ordinary one has its turn after a few urgent ones.
+std::size_t peer_next(const BulkPeer& peer);
+/// Makes a message the first one.
+void peer_bring_forward(BulkPeer& peer, std::size_t place);
+/// Drops the first message.
+void peer_end_first(BulkPeer& peer);
+
+}  // namespace weldsail
--- a/src/core/bulk/topic.cpp
+++ b/src/core/bulk/topic.cpp
@@ -12,6 +12,16 @@
 
 std::string operate_topic(std::uint64_t request) { return "operate " + std::to_string(request); }
 
+BulkPriority message_priority(const wire::Envelope& envelope) {
+  switch (envelope.body_case()) {
+    case wire::Envelope::kAccept:
+    case wire::Envelope::kPromise:
+    case wire::Envelope::kCopyAnswer:
+    case wire::Envelope::kOperate: return BulkPriority::urgent;
+    default: return BulkPriority::ordinary;
+  }
+}
+
 MessageTopic message_topic(const wire::Envelope& envelope) {
   switch (envelope.body_case()) {
     case wire::Envelope::kAccept: return {"accept " + envelope.accept().key(), !envelope.accept().has_delta()};
--- a/src/core/bulk/topic.hpp
+++ b/src/core/bulk/topic.hpp
@@ -14,6 +14,14 @@
   bool supersedes = false;
 };
 
+/// Classes of large messages: consensus and operators' changes go before answers and before what is told to many.
+enum class BulkPriority : std::uint8_t { urgent, ordinary };
+inline constexpr std::size_t bulk_priorities = 2;
+/// While ordinary messages wait, as many urgent pieces, or urgent messages to one peer, are sent before an ordinary
+/// one.
+inline constexpr std::size_t urgent_in_a_row_most = 3;
+
+BulkPriority message_priority(const wire::Envelope& envelope);
 MessageTopic message_topic(const wire::Envelope& envelope);
 /// Topic of an operator's request that is carried to the owner, by the number under which it is carried.
 std::string operate_topic(std::uint64_t request);
--- a/src/core/bulk/window.hpp
+++ b/src/core/bulk/window.hpp
@@ -18,9 +18,10 @@
 /// What pieces of messages may have of it.
 inline constexpr std::size_t pieces_window_most = 3 * piece_most;
 
-/// What a process sends in bulk.
-enum class BulkUse : std::uint8_t { piece, part };
-inline constexpr std::size_t bulk_uses = 2;
+/// What a process sends in bulk: pieces to peers for which no urgent message waits, pieces to the others, and parts of
+/// values.
+enum class BulkUse : std::uint8_t { piece, urgent_piece, part };
+inline constexpr std::size_t bulk_uses = 3;
 
 /// The bulk bytes that each peer hasn't acknowledged yet, by what they are.
 struct SendWindow {
