Bulk: a higher epoch of a key ends accepts and promises of lower ones that are under way

Cause: a whole Accept that had begun was sent to its end though its owner had asked for the key under a higher epoch since, and the small Prepare went before it: the disk refused the Accept, and what followed waited behind its bytes. The same held for promises.

Mend: a topic has an epoch; Prepare, Accept and Promise drop messages to the same peer that have their topic and a lower epoch, the one under way too. Its receiver drops it when the next message begins, as before.

Ruled out: a Prepare that waits behind the Accept, which holds the key up for the bytes of a value that has been given up.

--- a/src/core/bulk/bulk.cpp
+++ b/src/core/bulk/bulk.cpp
@@ -17,16 +17,16 @@
 }
 
 BulkMessage bulk_message(const wire::Envelope& envelope, Moment now) {
-  auto topic = message_topic(envelope);
   const bool may_wait = envelope.has_counter_report() || envelope.has_fleet_ask();
-  return {std::move(topic.name),        topic.supersedes, message_priority(envelope),
-          envelope.SerializeAsString(), may_wait,         now};
+  return {message_topic(envelope), message_priority(envelope), envelope.SerializeAsString(), may_wait, now};
 }
 
-void take_large(LaneState& lane, const MemberState& member, Moment now, Effects& effects) {
+void take_large(LaneState& lane, SendWindow& window, const MemberState& member, Moment now, Effects& effects) {
   std::erase_if(effects, [&](const Effect& effect) {
     const auto* message = std::get_if<SendMessage>(&effect);
-    if (message == nullptr || !is_bulk(lane, member, message->envelope)) return false;
+    if (message == nullptr) return false;
+    if (!lane.peers.empty()) lane_abandon(lane, window, message->envelope.to(), message_topic(message->envelope));
+    if (!is_bulk(lane, member, message->envelope)) return false;
     lane_put(lane, message->envelope.to(), message->address, bulk_message(message->envelope, now));
     return true;
   });
@@ -68,7 +68,7 @@
 }
 
 void bulk_send(BulkState& state, SendWindow& window, const MemberState& member, Moment now, Effects& effects) {
-  take_large(state.lane, member, now, effects);
+  take_large(state.lane, window, member, now, effects);
   assembly_expire(state.assembly, now);
   if (state.lane.peers.empty()) return;
   window_expire_parts(window, state.lane.bound, now);
--- a/src/core/bulk/lane.cpp
+++ b/src/core/bulk/lane.cpp
@@ -110,10 +110,23 @@
   count(state, node, peer);
 }
 
+void lane_abandon(LaneState& state, SendWindow& window, std::uint64_t node, const MessageTopic& newer) {
+  const auto found = state.peers.find(node);
+  if (found == state.peers.end() || newer.epoch == 0) return;
+  auto& peer = found->second;
+  state.counters.visits += peer.queue.size();
+  uncount(state, node, peer);
+  const bool awaited = peer.awaiting;
+  state.counters.superseded += peer_abandon(peer, newer);
+  if (awaited && !peer.awaiting) release_piece(window, node);
+  count(state, node, peer);
+}
+
 bool lane_holds(const LaneState& state, std::uint64_t node, const std::string& topic) {
   const auto found = state.peers.find(node);
   if (found == state.peers.end() || topic.empty()) return false;
-  return std::ranges::find(found->second.queue, topic, &BulkMessage::topic) != found->second.queue.end();
+  return std::ranges::any_of(found->second.queue,
+                             [&](const BulkMessage& message) { return message.topic.name == topic; });
 }
 
 void lane_acknowledged(LaneState& state, SendWindow& window, std::uint64_t node,
--- a/src/core/bulk/lane.hpp
+++ b/src/core/bulk/lane.hpp
@@ -60,6 +60,8 @@
 
 /// Queues a message to a peer, unless the same one waits or is under way.
 void lane_put(LaneState& state, std::uint64_t node, const std::string& address, BulkMessage message);
+/// Drops messages to a peer that one under a higher epoch makes needless, also the one that is under way.
+void lane_abandon(LaneState& state, SendWindow& window, std::uint64_t node, const MessageTopic& newer);
 /// True while a message of the topic waits for the peer or is under way to it.
 bool lane_holds(const LaneState& state, std::uint64_t node, const std::string& topic);
 void lane_acknowledged(LaneState& state, SendWindow& window, std::uint64_t node,
--- a/src/core/bulk/queue.cpp
+++ b/src/core/bulk/queue.cpp
@@ -24,9 +24,25 @@
 }
 
 std::size_t peer_supersede(BulkPeer& peer, const BulkMessage& newer) {
-  if (newer.topic.empty() || !newer.supersedes) return 0;
+  if (newer.topic.name.empty() || !newer.topic.supersedes) return 0;
   return std::erase_if(peer.queue, [&](const BulkMessage& message) {
-    if (message.number != 0 || message.topic != newer.topic) return false;
+    if (message.number != 0 || message.topic.name != newer.topic.name) return false;
+    uncount(peer, message);
+    return true;
+  });
+}
+
+std::size_t peer_abandon(BulkPeer& peer, const MessageTopic& topic) {
+  const auto needless = [&](const BulkMessage& message) {
+    return message.topic.name == topic.name && message.topic.epoch < topic.epoch;
+  };
+  if (has_begun(peer) && needless(peer.queue.front())) {
+    peer.acknowledged = 0;
+    peer.awaiting = false;
+    peer.tries = 0;
+  }
+  return std::erase_if(peer.queue, [&](const BulkMessage& message) {
+    if (!needless(message)) return false;
     uncount(peer, message);
     return true;
   });
--- a/src/core/bulk/queue.hpp
+++ b/src/core/bulk/queue.hpp
@@ -9,8 +9,7 @@
 /// A large message that waits for its turn or is under way.
 struct BulkMessage {
   /// What it is about; see `MessageTopic`.
-  std::string topic;
-  bool supersedes = false;
+  MessageTopic topic;
   BulkPriority priority = BulkPriority::ordinary;
   /// The serialized envelope.
   std::string bytes;
@@ -46,6 +45,8 @@
 bool peer_holds(const BulkPeer& peer, const BulkMessage& message);
 /// Drops messages that the newer one makes needless and that haven't begun; tells how many.
 std::size_t peer_supersede(BulkPeer& peer, const BulkMessage& newer);
+/// Drops messages of the topic under lower epochs, also the one that is under way; tells how many.
+std::size_t peer_abandon(BulkPeer& peer, const MessageTopic& topic);
 /// Adds a message behind those of its priority.
 void peer_put(BulkPeer& peer, BulkMessage message);
 /// The place of the message of which a piece is sent next: an ordinary one has its turn after a few urgent ones.
--- a/src/core/bulk/topic.hpp
+++ b/src/core/bulk/topic.hpp
@@ -12,6 +12,8 @@
   std::string name;
   /// Says all that those before it said: they needn't be sent any more.
   bool supersedes = false;
+  /// Makes those of the same name under lower epochs needless, those under way too; 0 for a message without an epoch.
+  std::uint64_t epoch = 0;
 };
 
 /// Classes of large messages: consensus and operators' changes go before answers and before what is told to many.
--- a/test/unit/bulksums.cpp
+++ b/test/unit/bulksums.cpp
@@ -167,14 +167,17 @@
         case 1: {
           const std::string letters(piece_most * (1 + chance.below(4)), static_cast<char>('a' + chance.below(20)));
           const auto topic = chance.below(3);
+          const auto epoch = topic == 0 ? 0 : 1 + chance.below(3);
           lane_put(lane, node, "p",
-                   {.topic = topic == 0 ? "" : "t" + std::to_string(topic),
-                    .supersedes = topic == 1,
+                   {.topic = {topic == 0 ? "" : "t" + std::to_string(topic), topic == 1, epoch},
                     .priority = topic == 0 ? BulkPriority::ordinary : BulkPriority::urgent,
                     .bytes = letters});
           break;
         }
-        case 2: lane_expire(lane, window, now); break;
+        case 2:
+          lane_expire(lane, window, now);
+          lane_abandon(lane, window, node, {"t2", false, 1 + chance.below(3)});
+          break;
         case 3:
           if (chance.happens(0.1)) lane_give_up(lane, window, node);
           break;
