Bulk: a value that finds no room leaves the one before it in the lane

Cause: the lane dropped what a newer value makes needless before it looked whether the newer one fits. Where it didn't, both were gone.

Mend: the room is looked for as if the older ones were gone, and they go only when the newer one is taken.

--- a/src/core/bulk/lane.cpp
+++ b/src/core/bulk/lane.cpp
@@ -47,11 +47,13 @@
     peers.ready.insert(node);
 }
 
-/// True where the lane has room for a message to a peer that isn't counted at the moment; what is alone always has.
-bool fits(const LaneState& state, const BulkPeer& peer, std::size_t bytes) {
-  const auto total = state.bytes + peer.bytes;
-  if (total > 0 && total + bytes > lane_most) return false;
-  return peer.queue.empty() || peer.bytes + bytes <= peer_most;
+/// True where the lane has room for a message to a peer that isn't counted at the moment, in place of those that it
+/// makes needless; what is alone always has.
+bool fits(const LaneState& state, const BulkPeer& peer, const BulkMessage& message) {
+  const auto others = peer.bytes - peer_needless_bytes(peer, message);
+  const auto total = state.bytes + others;
+  if (total > 0 && total + message.bytes.size() > lane_most) return false;
+  return others == 0 || others + message.bytes.size() <= peer_most;
 }
 
 void release_piece(SendWindow& window, std::uint64_t node) {
@@ -99,8 +101,8 @@
     return;
   }
   uncount(state, node, peer);
-  state.counters.superseded += peer_supersede(peer, message);
-  if (fits(state, peer, message.bytes.size())) {
+  if (fits(state, peer, message)) {
+    state.counters.superseded += peer_supersede(peer, message);
     peer.address = address;
     if (peer.queue.empty()) peer.patience = first_patience(state);
     peer_put(peer, std::move(message));
--- a/src/core/bulk/queue.cpp
+++ b/src/core/bulk/queue.cpp
@@ -13,6 +13,12 @@
 /// True while the first message is under way.
 bool has_begun(const BulkPeer& peer) { return !peer.queue.empty() && peer.queue.front().number != 0; }
 
+/// True for a message that the newer one makes needless.
+bool is_needless(const BulkMessage& message, const BulkMessage& newer) {
+  if (newer.topic.name.empty() || !newer.topic.supersedes) return false;
+  return message.number == 0 && message.topic.name == newer.topic.name;
+}
+
 }  // namespace
 
 BulkPriority peer_priority(const BulkPeer& peer) {
@@ -23,10 +29,15 @@
   return std::ranges::find(peer.queue, message.bytes, &BulkMessage::bytes) != peer.queue.end();
 }
 
+std::size_t peer_needless_bytes(const BulkPeer& peer, const BulkMessage& newer) {
+  std::size_t bytes = 0;
+  for (const auto& message : peer.queue) bytes += is_needless(message, newer) ? message.bytes.size() : 0;
+  return bytes;
+}
+
 std::size_t peer_supersede(BulkPeer& peer, const BulkMessage& newer) {
-  if (newer.topic.name.empty() || !newer.topic.supersedes) return 0;
   return std::erase_if(peer.queue, [&](const BulkMessage& message) {
-    if (message.number != 0 || message.topic.name != newer.topic.name) return false;
+    if (!is_needless(message, newer)) return false;
     uncount(peer, message);
     return true;
   });
--- a/src/core/bulk/queue.hpp
+++ b/src/core/bulk/queue.hpp
@@ -43,6 +43,8 @@
 BulkPriority peer_priority(const BulkPeer& peer);
 /// True when the same bytes wait or are under way.
 bool peer_holds(const BulkPeer& peer, const BulkMessage& message);
+/// Bytes of the messages that the newer one makes needless and that haven't begun.
+std::size_t peer_needless_bytes(const BulkPeer& peer, const BulkMessage& newer);
 /// Drops messages that the newer one makes needless and that haven't begun; tells how many.
 std::size_t peer_supersede(BulkPeer& peer, const BulkMessage& newer);
 /// Drops messages of the topic under lower epochs, also the one that is under way; tells how many.
