Bulk: an acknowledgement tells which piece it answers, and a sender goes back to what was lost

Cause: a receiver that had let a message go (others' messages took its room) and then got a late copy of its first piece answered each further piece with the fewer bytes that it had. The sender couldn't tell that from a late acknowledgement, sent the same piece seven times and gave up all that waited for the peer.

Mend: BulkAcknowledged echoes the piece's offset. An acknowledgement of another piece than the last one counts for nothing; one of the last piece that tells of fewer bytes makes the sender go back to them. The field is optional: acknowledgements of former releases are treated as before, and former senders don't read it, so the wire release stays.

--- a/src/core/bulk/assembly.cpp
+++ b/src/core/bulk/assembly.cpp
@@ -51,6 +51,7 @@
   PieceTaken taken;
   taken.answer.set_message(piece.message());
   taken.answer.set_received(received);
+  taken.answer.set_offset(piece.offset());
   return taken;
 }
 
--- a/src/core/bulk/lane.cpp
+++ b/src/core/bulk/lane.cpp
@@ -74,6 +74,13 @@
   return piece;
 }
 
+/// False for an acknowledgement that comes late. A former release doesn't tell which piece it answers.
+bool answers_last_piece(const BulkPeer& peer, const wire::BulkAcknowledged& acknowledged) {
+  const auto number = peer.queue.front().number;
+  if (number == 0 || number != acknowledged.message()) return false;
+  return !acknowledged.has_offset() || acknowledged.offset() == peer.acknowledged;
+}
+
 PieceToSend send_piece(LaneState& state, SendWindow& window, const NextPiece& next, Moment now) {
   auto& peer = state.peers.at(next.node);
   const bool urgent = next.priority == BulkPriority::urgent;
@@ -136,10 +143,12 @@
   const auto found = state.peers.find(node);
   if (found == state.peers.end()) return;
   auto& peer = found->second;
-  const auto& message = peer.queue.front();
-  if (message.number == 0 || message.number != acknowledged.message()) return;
-  const bool further = acknowledged.received() > peer.acknowledged && acknowledged.received() <= message.bytes.size();
-  if (!acknowledged.unknown() && !further) return;
+  const auto size = peer.queue.front().bytes.size();
+  if (!answers_last_piece(peer, acknowledged)) return;
+  const bool further = acknowledged.received() > peer.acknowledged && acknowledged.received() <= size;
+  // The receiver has lost some of what it had, and says from where on it needs the message again.
+  const bool lost = acknowledged.has_offset() && acknowledged.received() < peer.acknowledged;
+  if (!acknowledged.unknown() && !further && !lost) return;
   release_piece(window, node);
   uncount(state, node, peer);
   // What was sent again may be acknowledged for its first sending, which tells no round trip: the patience stays as
@@ -149,7 +158,7 @@
   peer.awaiting = false;
   peer.tries = 0;
   peer.acknowledged = acknowledged.received();
-  const bool whole = !acknowledged.unknown() && peer.acknowledged == message.bytes.size();
+  const bool whole = !acknowledged.unknown() && peer.acknowledged == size;
   if (whole) ++state.counters.messages_sent;
   if (acknowledged.unknown()) ++state.counters.given_up;
   if (whole || acknowledged.unknown()) peer_end_first(peer);
--- a/test/unit/assembly.cpp
+++ b/test/unit/assembly.cpp
@@ -48,3 +48,20 @@
   CHECK(taken.whole == "1234512345");
   CHECK(!assembly_take(state, 1, piece, 1).whole);
 }
+
+TEST_CASE("an acknowledgement tells which piece it answers", "[bulk]") {
+  AssemblyState state;
+  wire::BulkPiece piece;
+  piece.set_message(1);
+  piece.set_size(10);
+  piece.set_bytes("12345");
+  const auto first = assembly_take(state, 1, piece, 1).answer;
+  CHECK(first.has_offset());
+  CHECK(first.offset() == 0);
+  piece.set_offset(5);
+  CHECK(assembly_take(state, 1, piece, 1).answer.offset() == 5);
+  piece.set_message(2);
+  const auto unknown = assembly_take(state, 1, piece, 1).answer;
+  CHECK(unknown.unknown());
+  CHECK(unknown.offset() == 5);
+}
--- a/test/unit/bulkslow.cpp
+++ b/test/unit/bulkslow.cpp
@@ -63,3 +63,47 @@
   CHECK(assembly_bytes(receiver.bulk.assembly) == 0);
   CHECK(receiver.bulk.assembly.dropped == 1);
 }
+
+TEST_CASE("a receiver that has lost what it had is sent that again", "[bulk]") {
+  BulkBench bench(4);
+  for (const auto* address : {"a", "b"}) bench.add(address);
+  bench.send("a", "b", 12 * piece_most);
+  auto& sender = bench.processes.at("a");
+  auto& receiver = bench.processes.at("b");
+  wire::BulkPiece first;
+  first.set_message(1);
+  first.set_offset(0);
+  first.set_size(sender.bulk.lane.peers.begin()->second.queue.front().bytes.size());
+  first.set_bytes(sender.bulk.lane.peers.begin()->second.queue.front().bytes.substr(0, piece_most));
+  bench.run_until(bench.now + 150);
+  REQUIRE(assembly_bytes(receiver.bulk.assembly) > 2 * piece_most);
+  // Others' messages took its room, and the first piece comes a second time after that.
+  receiver.bulk.assembly = {};
+  bulk_configure(receiver.bulk, BulkBench::bound);
+  assembly_take(receiver.bulk.assembly, bench.node("a"), first, bench.now);
+  bench.run_until(bench.now + 10000);
+  CHECK(sender.bulk.lane.counters.given_up == 0);
+  CHECK(bench.delivered());
+}
+
+TEST_CASE("an acknowledgement that was delayed sends nothing again", "[bulk]") {
+  LaneState lane;
+  SendWindow window;
+  lane_put(lane, 1, "p", {.bytes = std::string(4 * piece_most, 'x')});
+  const auto acknowledged = [&](std::size_t offset, std::size_t received) {
+    wire::BulkAcknowledged answer;
+    answer.set_message(1);
+    answer.set_offset(offset);
+    answer.set_received(received);
+    lane_acknowledged(lane, window, 1, answer, 1000);
+  };
+  lane_send(lane, window, 1000);
+  acknowledged(0, piece_most);
+  lane_send(lane, window, 1000);
+  acknowledged(0, piece_most);
+  acknowledged(0, 0);
+  CHECK(lane.peers.at(1).acknowledged == piece_most);
+  CHECK(lane.peers.at(1).awaiting);
+  acknowledged(piece_most, 2 * piece_most);
+  CHECK(lane.peers.at(1).acknowledged == 2 * piece_most);
+}
