Bulk: a retry doesn't join a body all of whose bytes have been sent

Cause: an operator's change that came again joined the one under way until its last acknowledgement was here. By then the owner may have answered the first, and that answer may be lost: the retry waited for nothing.

Mend: the lane knows how far the first message was sent, and a retry joins only what has bytes that weren't.

--- a/src/core/bulk/bulk.cpp
+++ b/src/core/bulk/bulk.cpp
@@ -87,6 +87,10 @@
   return lane_holds(state.lane, node, operate_topic(request));
 }
 
+bool bulk_has_unsent_operation(const BulkState& state, std::uint64_t node, std::uint64_t request) {
+  return lane_has_unsent(state.lane, node, operate_topic(request));
+}
+
 void write_bulk(const BulkState& state, JsonText& text) {
   const auto& counters = state.lane.counters;
   text.number("bulk_messages", lane_messages(state.lane))
--- a/src/core/bulk/bulk.hpp
+++ b/src/core/bulk/bulk.hpp
@@ -23,6 +23,8 @@
 void bulk_send(BulkState& state, SendWindow& window, const MemberState& member, Moment now, Effects& effects);
 /// True while an operator's request waits for a node or is under way to it, by the number under which it is carried.
 bool bulk_carries_operation(const BulkState& state, std::uint64_t node, std::uint64_t request);
+/// True while bytes of the request haven't been sent: its answer can't have been made yet.
+bool bulk_has_unsent_operation(const BulkState& state, std::uint64_t node, std::uint64_t request);
 /// Writes what is counted into a status document.
 void write_bulk(const BulkState& state, JsonText& text);
 
--- a/src/core/bulk/lane.cpp
+++ b/src/core/bulk/lane.cpp
@@ -90,6 +90,7 @@
   uncount(state, next.node, peer);
   peer_bring_forward(peer, peer_next(peer));
   PieceToSend piece{next.node, peer.address, next_piece(state, peer, next.bytes, now)};
+  peer.sent_bytes = std::max(peer.sent_bytes, peer.acknowledged + next.bytes);
   peer.awaiting = true;
   peer.sent = now;
   count(state, next.node, peer);
@@ -138,6 +139,11 @@
                              [&](const BulkMessage& message) { return message.topic.name == topic; });
 }
 
+bool lane_has_unsent(const LaneState& state, std::uint64_t node, const std::string& topic) {
+  const auto found = state.peers.find(node);
+  return found != state.peers.end() && peer_has_unsent(found->second, topic);
+}
+
 void lane_acknowledged(LaneState& state, SendWindow& window, std::uint64_t node,
                        const wire::BulkAcknowledged& acknowledged, Moment now) {
   const auto found = state.peers.find(node);
--- a/src/core/bulk/lane.hpp
+++ b/src/core/bulk/lane.hpp
@@ -64,6 +64,8 @@
 void lane_abandon(LaneState& state, SendWindow& window, std::uint64_t node, const MessageTopic& newer);
 /// True while a message of the topic waits for the peer or is under way to it.
 bool lane_holds(const LaneState& state, std::uint64_t node, const std::string& topic);
+/// True while bytes of a message of the topic haven't been sent to the peer yet.
+bool lane_has_unsent(const LaneState& state, std::uint64_t node, const std::string& topic);
 void lane_acknowledged(LaneState& state, SendWindow& window, std::uint64_t node,
                        const wire::BulkAcknowledged& acknowledged, Moment now);
 /// Peers whose acknowledgement is overdue. Their pieces don't count as under way any more, and are sent again; a peer
--- a/src/core/bulk/queue.cpp
+++ b/src/core/bulk/queue.cpp
@@ -10,6 +10,14 @@
   if (message.priority == BulkPriority::urgent) --peer.urgent;
 }
 
+/// The next message begins at its first byte.
+void reset_progress(BulkPeer& peer) {
+  peer.acknowledged = 0;
+  peer.sent_bytes = 0;
+  peer.awaiting = false;
+  peer.tries = 0;
+}
+
 /// True while the first message is under way.
 bool has_begun(const BulkPeer& peer) { return !peer.queue.empty() && peer.queue.front().number != 0; }
 
@@ -25,6 +33,12 @@
   return peer.urgent > 0 ? BulkPriority::urgent : BulkPriority::ordinary;
 }
 
+bool peer_has_unsent(const BulkPeer& peer, const std::string& topic) {
+  const auto found =
+      std::ranges::find_if(peer.queue, [&](const BulkMessage& message) { return message.topic.name == topic; });
+  return found != peer.queue.end() && (found->number == 0 || peer.sent_bytes < found->bytes.size());
+}
+
 bool peer_holds(const BulkPeer& peer, const BulkMessage& message) {
   return std::ranges::find(peer.queue, message.bytes, &BulkMessage::bytes) != peer.queue.end();
 }
@@ -47,11 +61,7 @@
   const auto needless = [&](const BulkMessage& message) {
     return message.topic.name == topic.name && message.topic.epoch < topic.epoch;
   };
-  if (has_begun(peer) && needless(peer.queue.front())) {
-    peer.acknowledged = 0;
-    peer.awaiting = false;
-    peer.tries = 0;
-  }
+  if (has_begun(peer) && needless(peer.queue.front())) reset_progress(peer);
   return std::erase_if(peer.queue, [&](const BulkMessage& message) {
     if (!needless(message)) return false;
     uncount(peer, message);
@@ -84,8 +94,7 @@
   peer.urgent_in_a_row = message.priority == BulkPriority::urgent ? peer.urgent_in_a_row + 1 : 0;
   uncount(peer, message);
   peer.queue.pop_front();
-  peer.acknowledged = 0;
-  peer.tries = 0;
+  reset_progress(peer);
 }
 
 }  // namespace weldsail
--- a/src/core/bulk/queue.hpp
+++ b/src/core/bulk/queue.hpp
@@ -31,6 +31,8 @@
   std::size_t urgent_in_a_row = 0;
   /// Bytes of the first message that the peer has acknowledged.
   std::size_t acknowledged = 0;
+  /// Bytes of the first message that have been sent at least once.
+  std::size_t sent_bytes = 0;
   /// A piece has been sent whose acknowledgement is awaited, for so long.
   bool awaiting = false;
   Moment sent = 0;
@@ -41,6 +43,8 @@
 
 /// Urgent while an urgent message waits: an ordinary one that is under way before it has to be got over with.
 BulkPriority peer_priority(const BulkPeer& peer);
+/// True while a message of the topic waits, or is under way with bytes that haven't been sent.
+bool peer_has_unsent(const BulkPeer& peer, const std::string& topic);
 /// True when the same bytes wait or are under way.
 bool peer_holds(const BulkPeer& peer, const BulkMessage& message);
 /// Bytes of the messages that the newer one makes needless and that haven't begun.
--- a/src/core/operations/operate.cpp
+++ b/src/core/operations/operate.cpp
@@ -133,12 +133,12 @@
   return sha256(content.SerializeAsString());
 }
 
-/// The operation that carries the same content to the node at the moment.
+/// The operation that carries the same content to the node and hasn't been sent to its end.
 ForwardedOperation* find_under_way(OperateState& state, const BulkState& bulk, std::uint64_t node,
                                    const std::string& content) {
   for (auto& [identity, forwarded] : state.forwarded)
     if (!content.empty() && forwarded.content == content && forwarded.node == node &&
-        bulk_carries_operation(bulk, node, identity))
+        bulk_has_unsent_operation(bulk, node, identity))
       return &forwarded;
   return nullptr;
 }
--- a/test/unit/operateretry.cpp
+++ b/test/unit/operateretry.cpp
@@ -51,15 +51,23 @@
 
   /// The owner has all pieces that were sent, until the body is whole.
   void deliver_body() {
-    while (!bulk.lane.peers.empty()) {
-      auto envelope = from_owner();
-      const auto& peer = bulk.lane.peers.at(7);
-      envelope.mutable_bulk_acknowledged()->set_message(peer.queue.front().number);
-      envelope.mutable_bulk_acknowledged()->set_received(window_bytes(window) + peer.acknowledged);
-      Effects effects;
-      bulk_receive(bulk, window, member, envelope, ++now, effects);
-      finish(effects);
-    }
+    while (!bulk.lane.peers.empty()) deliver_piece();
+  }
+
+  /// The owner has all pieces but the last one, which has been sent.
+  void deliver_all_but_last() {
+    const auto& peer = bulk.lane.peers.at(7);
+    while (peer.acknowledged + window_bytes(window) < peer.queue.front().bytes.size()) deliver_piece();
+  }
+
+  void deliver_piece() {
+    auto envelope = from_owner();
+    const auto& peer = bulk.lane.peers.at(7);
+    envelope.mutable_bulk_acknowledged()->set_message(peer.queue.front().number);
+    envelope.mutable_bulk_acknowledged()->set_received(window_bytes(window) + peer.acknowledged);
+    Effects effects;
+    bulk_receive(bulk, window, member, envelope, ++now, effects);
+    finish(effects);
   }
 
   void owner_answers(std::uint64_t identity) {
@@ -121,6 +129,23 @@
   CHECK(forwarder.answered == std::map<std::uint64_t, int>{{1, 504}, {2, 200}});
 }
 
+TEST_CASE("a retry doesn't join a body all of whose bytes have been sent", "[bulk]") {
+  Forwarder forwarder;
+  forwarder.ask(1, 'a');
+  forwarder.deliver_all_but_last();
+  REQUIRE(forwarder.bulk.lane.peers.at(7).queue.size() == 1);
+  forwarder.ask(2, 'a');
+  CHECK(forwarder.bulk.lane.peers.at(7).queue.size() == 2);
+  // Nor while the last piece is to be sent again.
+  forwarder.tick(bound / 10);
+  CHECK(forwarder.bulk.lane.counters.pieces_repeated == 1);
+  forwarder.ask(3, 'a');
+  CHECK(forwarder.operate.forwarded.at(1).waiting.size() == 1);
+  forwarder.deliver_body();
+  forwarder.owner_answers(1);
+  CHECK(forwarder.answered == std::map<std::uint64_t, int>{{1, 200}});
+}
+
 TEST_CASE("another content, a small change, and a body that has arrived are each sent", "[bulk]") {
   Forwarder forwarder;
   forwarder.ask(1, 'a');
