Bulk: views of the fleet that differ in their age only aren't queued twice

Cause: the lane recognises a message that waits already by its bytes. Those of a view hold its age, so that the same view was queued again with each age; only one that hadn't begun was superseded.

Mend: a view is queued without its age and as of the moment from which that counts; the receiver adds the time since then, as it did. A view of the same content makes the one in the lane as new as it is.

--- a/src/core/bulk/bulk.cpp
+++ b/src/core/bulk/bulk.cpp
@@ -16,7 +16,17 @@
   return !lane.peers.empty() && lane_holds(lane, envelope.to(), message_topic(envelope).name);
 }
 
+/// A view of the fleet is queued without its age and as of the moment from which that counts: views of the same content
+/// are the same bytes, and the receiver adds the time since then.
+BulkMessage fleet_message(const wire::Envelope& envelope, Moment now) {
+  auto ageless = envelope;
+  ageless.mutable_fleet()->clear_age_ms();
+  const auto as_of = now - static_cast<Moment>(envelope.fleet().age_ms());
+  return {message_topic(envelope), message_priority(envelope), ageless.SerializeAsString(), false, as_of};
+}
+
 BulkMessage bulk_message(const wire::Envelope& envelope, Moment now) {
+  if (envelope.has_fleet()) return fleet_message(envelope, now);
   const bool may_wait = envelope.has_counter_report() || envelope.has_fleet_ask();
   return {message_topic(envelope), message_priority(envelope), envelope.SerializeAsString(), may_wait, now};
 }
--- a/src/core/bulk/lane.cpp
+++ b/src/core/bulk/lane.cpp
@@ -70,7 +70,7 @@
   piece.set_offset(peer.acknowledged);
   piece.set_bytes(message.bytes.substr(peer.acknowledged, share));
   piece.set_may_wait(message.may_wait);
-  piece.set_waited_ms(static_cast<std::uint64_t>(std::max<Moment>(0, now - message.queued)));
+  piece.set_waited_ms(static_cast<std::uint64_t>(std::max<Moment>(0, now - message.as_of)));
   return piece;
 }
 
@@ -104,7 +104,7 @@
 void lane_put(LaneState& state, std::uint64_t node, const std::string& address, BulkMessage message) {
   auto& peer = state.peers[node];
   state.counters.visits += peer.queue.size();
-  if (peer_holds(peer, message)) {
+  if (peer_join_same(peer, message)) {
     ++state.counters.duplicates;
     return;
   }
--- a/src/core/bulk/queue.cpp
+++ b/src/core/bulk/queue.cpp
@@ -39,8 +39,11 @@
   return found != peer.queue.end() && (found->number == 0 || peer.sent_bytes < found->bytes.size());
 }
 
-bool peer_holds(const BulkPeer& peer, const BulkMessage& message) {
-  return std::ranges::find(peer.queue, message.bytes, &BulkMessage::bytes) != peer.queue.end();
+bool peer_join_same(BulkPeer& peer, const BulkMessage& message) {
+  const auto found = std::ranges::find(peer.queue, message.bytes, &BulkMessage::bytes);
+  if (found == peer.queue.end()) return false;
+  found->as_of = std::max(found->as_of, message.as_of);
+  return true;
 }
 
 std::size_t peer_needless_bytes(const BulkPeer& peer, const BulkMessage& newer) {
--- a/src/core/bulk/queue.hpp
+++ b/src/core/bulk/queue.hpp
@@ -14,7 +14,8 @@
   /// The serialized envelope.
   std::string bytes;
   bool may_wait = false;
-  Moment queued = 0;
+  /// When it was queued; for a view of the fleet, as of when it tells.
+  Moment as_of = 0;
   /// Set by the lane when the first piece is sent; 0 until then.
   std::uint64_t number = 0;
 };
@@ -45,8 +46,8 @@
 BulkPriority peer_priority(const BulkPeer& peer);
 /// True while a message of the topic waits, or is under way with bytes that haven't been sent.
 bool peer_has_unsent(const BulkPeer& peer, const std::string& topic);
-/// True when the same bytes wait or are under way.
-bool peer_holds(const BulkPeer& peer, const BulkMessage& message);
+/// True when the same bytes wait or are under way; they count as of the newest moment from then on.
+bool peer_join_same(BulkPeer& peer, const BulkMessage& message);
 /// Bytes of the messages that the newer one makes needless and that haven't begun.
 std::size_t peer_needless_bytes(const BulkPeer& peer, const BulkMessage& newer);
 /// Drops messages that the newer one makes needless and that haven't begun; tells how many.
--- a/test/unit/bulkslow.cpp
+++ b/test/unit/bulkslow.cpp
@@ -107,3 +107,31 @@
   acknowledged(piece_most, 2 * piece_most);
   CHECK(lane.peers.at(1).acknowledged == 2 * piece_most);
 }
+
+TEST_CASE("a view that waits isn't queued twice for its age, and tells the newest age", "[bulk]") {
+  BulkBench bench(5);
+  for (const auto* address : {"a", "b"}) bench.add(address);
+  const auto view = [&](std::uint64_t age) {
+    auto envelope = member_envelope(bench.processes.at("a").member, bench.node("b"));
+    envelope.mutable_fleet()->add_workers()->set_identity(std::string(4 * piece_most, 'v'));
+    envelope.mutable_fleet()->set_age_ms(age);
+    return envelope;
+  };
+  bench.send("a", "b", view(700));
+  bench.run_until(bench.now + 50);
+  const auto heard = bench.now;
+  bench.send("a", "b", view(100));
+  bench.processes.at("a").sent[bench.node("b")].pop_back();
+  bench.send("a", "b", view(400));
+  bench.processes.at("a").sent[bench.node("b")].pop_back();
+  CHECK(bench.processes.at("a").bulk.lane.counters.duplicates == 2);
+  while (bench.ages_taken.empty() && bench.now < heard + 5000) bench.run_until(bench.now + 1);
+  const auto waited = static_cast<std::uint64_t>(bench.now - heard);
+  REQUIRE(bench.ages_taken.size() == 1);
+  // The last piece tells the age at its sending.
+  CHECK(bench.ages_taken.front() <= 100 + waited);
+  CHECK(bench.ages_taken.front() + static_cast<std::uint64_t>(bench.delay_most) + 1 >= 100 + waited);
+  bench.run_until(bench.now + 5000);
+  CHECK(bench.delivered());
+  CHECK(bench.ages_taken.size() == 1);
+}
