--- a/src/core/bulk/bulk.cpp
+++ b/src/core/bulk/bulk.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "core/bulk/topic.hpp"
 #include "core/json.hpp"
 
 namespace weldsail {
@@ -17,16 +16,27 @@
   return !lane.peers.empty() && lane_holds(lane, envelope.to(), message_topic(envelope).name);
 }
 
+/// A view of the fleet is queued without its age and as of the moment from which that counts: views of the same content
+/// are the same bytes, and the receiver adds the time since then.
+BulkMessage fleet_message(const wire::Envelope& envelope, Moment now) {
+  auto ageless = envelope;
+  ageless.mutable_fleet()->clear_age_ms();
+  const auto as_of = now - static_cast<Moment>(envelope.fleet().age_ms());
+  return {message_topic(envelope), message_priority(envelope), ageless.SerializeAsString(), false, as_of};
+}
+
 BulkMessage bulk_message(const wire::Envelope& envelope, Moment now) {
-  auto topic = message_topic(envelope);
+  if (envelope.has_fleet()) return fleet_message(envelope, now);
   const bool may_wait = envelope.has_counter_report() || envelope.has_fleet_ask();
-  return {std::move(topic.name), topic.supersedes, envelope.SerializeAsString(), may_wait, now, 0};
+  return {message_topic(envelope), message_priority(envelope), envelope.SerializeAsString(), may_wait, now};
 }
 
-void take_large(LaneState& lane, const MemberState& member, Moment now, Effects& effects) {
+void take_large(LaneState& lane, SendWindow& window, const MemberState& member, Moment now, Effects& effects) {
   std::erase_if(effects, [&](const Effect& effect) {
     const auto* message = std::get_if<SendMessage>(&effect);
-    if (message == nullptr || !is_bulk(lane, member, message->envelope)) return false;
+    if (message == nullptr) return false;
+    if (!lane.peers.empty()) lane_abandon(lane, window, message->envelope.to(), message_topic(message->envelope));
+    if (!is_bulk(lane, member, message->envelope)) return false;
     lane_put(lane, message->envelope.to(), message->address, bulk_message(message->envelope, now));
     return true;
   });
@@ -68,7 +78,7 @@
 }
 
 void bulk_send(BulkState& state, SendWindow& window, const MemberState& member, Moment now, Effects& effects) {
-  take_large(state.lane, member, now, effects);
+  take_large(state.lane, window, member, now, effects);
   assembly_expire(state.assembly, now);
   if (state.lane.peers.empty()) return;
   window_expire_parts(window, state.lane.bound, now);
@@ -87,6 +97,10 @@
   return lane_holds(state.lane, node, operate_topic(request));
 }
 
+bool bulk_has_unsent_operation(const BulkState& state, std::uint64_t node, std::uint64_t request) {
+  return lane_has_unsent(state.lane, node, operate_topic(request));
+}
+
 void write_bulk(const BulkState& state, JsonText& text) {
   const auto& counters = state.lane.counters;
   text.number("bulk_messages", lane_messages(state.lane))
