Placing: the store's loads go by turns of crowded models and others

Cause: places were given by turns of two classes, but the loads that fill them went by the longest wait alone. A crowd's requests run (or queue) at its ready holders and are not held, so its further holders ranked behind every waiting rare model and loaded last.

Loads are sorted into the same two classes (loadturns). A class keeps its turn until one of its loads has taken a load of the store; of crowded units the one with the fewest holders a request, loads under way included, is first. What waits for no store (a worker's own disk) isn't held up by turns. A planned holder whose worker left the list counts as no ready holder: orders follow from the committed plan, which may name it.

--- a/src/core/placement/enact.cpp
+++ b/src/core/placement/enact.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
-#include <limits>
 
+#include "core/placement/loadturns.hpp"
 #include "core/placement/placing.hpp"
 
 namespace weldsail {
@@ -9,13 +9,21 @@
 /// Data nodes have this part of the bound to leave a model before its unload is ordered.
 constexpr Moment hidden_part = 75;
 
-/// An order that a worker might be given; lower ranks go first.
+/// An order that a worker might be given.
 struct Candidate {
-  std::pair<int, Moment> rank;
   std::string identity;
   WorkerOrder order;
 };
 
+/// All orders that workers might be given, in the order in which they are tried.
+struct Candidates {
+  std::vector<Candidate> adapters;
+  std::vector<PlannedLoad> loads;
+  /// Unloads where a planned model waits for the room.
+  std::vector<Candidate> pressing_unloads;
+  std::vector<Candidate> unloads;
+};
+
 WorkerOrder make_order(bool load, const std::string& model, const std::string& adapter = {}) {
   WorkerOrder order;
   order.load = load;
@@ -36,13 +44,6 @@
   return std::nullopt;
 }
 
-Moment rank_of(const WantsByUnit& wants, const std::string& unit, Moment now) {
-  const auto found = wants.find(unit);
-  if (found == wants.end()) return std::numeric_limits<Moment>::max();
-  const bool waits = found->second.demand.waiting > 0;
-  return waits ? -wants_oldest(found->second, now) - 1 : wants_quiet(found->second, now);
-}
-
 bool settled(const WorkerBook& book, const PlannedWorker& planned) {
   if (book.held.size() != planned.models.size()) return false;
   for (const auto& model : planned.models)
@@ -51,29 +52,48 @@
                              [&](const auto& item) { return book_holds(book, item.first, item.second); });
 }
 
-void add_candidates(std::vector<Candidate>& candidates, const PlacingState& state, const WorkerBook& book,
+void add_candidates(Candidates& candidates, const PlacingState& state, const WorkerBook& book,
                     const PlannedWorker& planned, const PathService& service, Moment now) {
   const auto& identity = book.entry.identity();
-  if (auto order = adapter_order(book, planned, service)) candidates.push_back({{0, 0}, identity, std::move(*order)});
+  if (auto order = adapter_order(book, planned, service)) candidates.adapters.push_back({identity, std::move(*order)});
   bool lacks = false;
   for (const auto& model : planned.models) {
     if (book_holds(book, model)) continue;
     lacks = true;
-    candidates.push_back(
-        {{1, rank_of(state.wants.units, unit_name(service.name, model), now)}, identity, make_order(true, model)});
+    candidates.loads.push_back({identity, model});
   }
+  auto& unloads = lacks ? candidates.pressing_unloads : candidates.unloads;
   for (const auto& [model, adapters] : book.held) {
     if (planned.models.contains(model)) continue;
     const auto since = book.hidden.find(model);
     if (since == book.hidden.end() || now - since->second < state.bound / hidden_part) continue;
-    candidates.push_back({{2, lacks ? 0 : 1}, identity, make_order(false, model)});
+    unloads.push_back({identity, make_order(false, model)});
   }
 }
 
+void give(PlacingState& state, const PlacingContext& context, const std::string& identity, WorkerOrder order,
+          Effects& effects) {
+  const CommandContext command{*context.paths, context.dialect, context.limits, context.numbers, context.now};
+  if (command_give(state.command, state.command.books.at(identity), std::move(order), command, effects))
+    state.unseen.insert(identity);
+}
+
+void give_loads(PlacingState& state, const PlacingContext& context, std::vector<PlannedLoad> loads, Effects& effects) {
+  if (loads.empty()) return;
+  const auto queues = load_queues(state.plan, placing_input(state, context), std::move(loads));
+  offer_by_turns(queues, state.crowded_loads_next, [&](const PlannedLoad& load) {
+    // A worker that was given another order a moment ago takes no load.
+    if (state.command.books.at(load.identity).order) return LoadOffer::store_untouched;
+    give(state, context, load.identity, make_order(true, load.model), effects);
+    const auto& order = state.command.books.at(load.identity).order;
+    return order && order->from_store ? LoadOffer::store_taken : LoadOffer::store_untouched;
+  });
+}
+
 }  // namespace
 
 void placing_enact(PlacingState& state, const PlacingContext& context, Effects& effects) {
-  std::vector<Candidate> candidates;
+  Candidates candidates;
   for (auto item = state.open_work.begin(); item != state.open_work.end();) {
     ++state.work.workers;
     const auto planned = state.plan.workers.find(*item);
@@ -89,12 +109,13 @@
     if (!command_free(found->second, context.now) || found->second.failures > 0) continue;
     add_candidates(candidates, state, found->second, planned->second, service->second, context.now);
   }
-  std::ranges::stable_sort(candidates, {}, &Candidate::rank);
-  const CommandContext command{*context.paths, context.dialect, context.limits, context.numbers, context.now};
-  for (auto& candidate : candidates)
-    if (command_give(state.command, state.command.books.at(candidate.identity), std::move(candidate.order), command,
-                     effects))
-      state.unseen.insert(candidate.identity);
+  const auto give_all = [&](std::vector<Candidate>& orders) {
+    for (auto& [identity, order] : orders) give(state, context, identity, std::move(order), effects);
+  };
+  give_all(candidates.adapters);
+  give_loads(state, context, std::move(candidates.loads), effects);
+  give_all(candidates.pressing_unloads);
+  give_all(candidates.unloads);
 }
 
 wire::WorkerEntry placing_entry(const PlacingState& state, WorkerBook& book, const PlanInput& input) {
--- a/src/core/placement/placing.hpp
+++ b/src/core/placement/placing.hpp
@@ -39,6 +39,8 @@
   std::set<std::string> open_work;
   /// Workers of which the view may show something else than is known.
   std::set<std::string> unseen;
+  /// Whose turn it is at the store: loads of crowded units, or all others.
+  bool crowded_loads_next = false;
   PlanWork work;
 };
 
--- a/src/core/placement/plan.cpp
+++ b/src/core/placement/plan.cpp
@@ -98,8 +98,8 @@
 
 std::int64_t ready_holders(const HolderPlan& plan, const PlanInput& input, const std::string& unit) {
   return std::ranges::count_if(planned_holders(plan, unit), [&](const std::string& identity) {
-    const auto& book = input.books.at(identity);
-    return book_holds(book, unit_model(unit)) && !book_stuck(input, book);
+    const auto book = input.books.find(identity);
+    return book != input.books.end() && book_holds(book->second, unit_model(unit)) && !book_stuck(input, book->second);
   });
 }
 
