Soak: configurations in a deployment's form, every acknowledged change judged by its bound

The soak ran the product's own form of configuration only, though what is delivered to processes elsewhere is a deployment's: settings files, a document of routes by host and path, operators' revisions, changes by label, a core founded by its seeds that grows.

New checks in both forms: a data process free of trouble for the bound has each acknowledged version in force by its own status (until now only a new route was asked for); a refusal names a base on which something else was built, sent by then; versions and revisions rise together; the change acknowledged is the one that was sent.

--- a/test/soak/fleetview.hpp
+++ b/test/soak/fleetview.hpp
@@ -22,9 +22,14 @@
   Child& child(std::size_t process) const {
     return is_control(process) ? fleet_.controls[process] : fleet_.datas[process - controls()];
   }
+  /// Where the process answers operators, through the relay.
+  const std::string& operators(std::size_t process) const {
+    const auto& found = child(process);
+    return found.aside.empty() ? found.callers : found.aside;
+  }
   /// Where the process answers operators without the relay in between.
   std::string direct(std::size_t process) const {
-    return direct_address(child(process).callers, static_cast<int>(process));
+    return direct_address(operators(process), static_cast<int>(process));
   }
   RealFleet& fleet() const { return fleet_; }
 
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -29,6 +29,8 @@
   TCLAP::ValueArg<std::size_t> routes("", "routes", "routes of the configuration", false, 1500, "count", line);
   TCLAP::ValueArg<std::size_t> control("", "control", "wscp processes", false, 5, "count", line);
   TCLAP::ValueArg<std::size_t> data("", "data", "wsdp processes", false, 8, "count", line);
+  TCLAP::ValueArg<std::string> form("", "form", "form of configuration: deployment or product", false, "deployment",
+                                    "name", line);
   TCLAP::ValueArg<std::int64_t> patience("", "patience", "longest wait for each state", false, 120, "s", line);
   TCLAP::ValueArg<std::uint64_t> memory("", "memory-mb", "memory that a process may have beside the documents", false,
                                         32, "MB", line);
@@ -46,6 +48,11 @@
   plan.own_host = WELDSAIL_OWN_HOST_LIBRARY;
   plan.control = std::clamp<std::size_t>(control.getValue(), 3, 15);
   plan.data = std::clamp<std::size_t>(data.getValue(), 1, 80);
+  if (form.getValue() != "deployment" && form.getValue() != "product") {
+    std::cerr << "wssoak: --form: must be deployment or product\n";
+    return 2;
+  }
+  plan.form = form.getValue() == "product" ? &soak::product_form() : &soak::deployment_form();
   plan.routes = std::max<std::size_t>(routes.getValue(), 40);
   plan.trouble_length = seconds.getValue() * 1000;
   plan.patience = patience.getValue() * 1000;
--- a/test/soak/operators.cpp
+++ b/test/soak/operators.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "core/json.hpp"
-#include "document.hpp"
 
 namespace weldsail::soak {
 namespace {
@@ -14,6 +13,7 @@
 constexpr std::size_t repeat_share = 6;
 constexpr std::size_t data_share = 5;
 constexpr std::size_t route_share = 2;
+constexpr std::size_t revision_step = 3;
 
 bool unclear_status(const Reply& reply) {
   return !reply.whole || reply.status == 503 || reply.status == 504 || reply.status == 0;
@@ -22,8 +22,14 @@
 }  // namespace
 
 Operator::Operator(std::string name, FleetView fleet, Asker& asker, Ledger& ledger, OperatorShare& share,
-                   std::uint64_t seed)
-    : name_(std::move(name)), fleet_(fleet), asker_(asker), ledger_(ledger), share_(share), random_(seed) {}
+                   const DocumentForm& form, std::uint64_t seed)
+    : name_(std::move(name)),
+      fleet_(fleet),
+      asker_(asker),
+      ledger_(ledger),
+      share_(share),
+      form_(form),
+      random_(seed) {}
 
 void Operator::tick(Moment now) {
   if (asking_ || now < next_) return;
@@ -40,33 +46,35 @@
 
 SoakChange Operator::next_change() {
   SoakChange change;
-  change.id = name_ + "-" + std::to_string(++serial_);
-  change.base = std::max(known_, ledger_.newest());
-  change.due_ms = share_.next_due++;
+  auto& routes = change.routes;
+  change.base = std::max(known_, ledger_.newest_number());
+  routes.due_ms = share_.next_due++;
+  if (form_.numbered) routes.revision = share_.newest_revision += 1 + pick(random_, revision_step);
   const bool large = share_.large_change != 0 && ledger_.changes().size() >= share_.large_after;
   const bool adds = large || pick(random_, route_share) == 0;
-  change.from = adds ? share_.next_route : pick(random_, share_.next_route);
-  change.until = change.from + (large ? share_.large_change : 1);
+  routes.from = adds ? share_.next_route : pick(random_, share_.next_route);
+  routes.until = routes.from + (large ? share_.large_change : 1);
   if (large) share_.large_change = 0;
-  share_.next_route = std::max(share_.next_route, change.until);
-  change.body = change_body(change.from, change.until, change.due_ms);
+  share_.next_route = std::max(share_.next_route, routes.until);
+  change.body = form_.change_body(routes);
+  change.id = form_.identity(name_ + "-" + std::to_string(++serial_), change.base, change.body);
   return change;
 }
 
 std::size_t Operator::pick_process() {
-  if (pick(random_, data_share) == 0) return fleet_.controls() + pick(random_, fleet_.size() - fleet_.controls());
+  // A deployment's operators reach control processes only.
+  if (!form_.numbered && pick(random_, data_share) == 0)
+    return fleet_.controls() + pick(random_, fleet_.size() - fleet_.controls());
   return pick(random_, fleet_.controls());
 }
 
 void Operator::send(const SoakChange& change, bool repeat, Moment now) {
   asking_ = true;
   if (repeat) ++repeated_;
-  const Question question{"POST",
-                          fleet_.child(pick_process()).callers,
-                          "/v1/config/change",
-                          {{"weldsail-base", std::to_string(change.base)}, {"weldsail-change", change.id}},
-                          change.body,
-                          answer_within};
+  ledger_.sent(change, now);
+  auto question = form_.change_request(change.id, change.base, change.body);
+  question.address = fleet_.child(pick_process()).callers;
+  question.within = answer_within;
   asker_.ask(question, [this, change, repeat, now](const Reply& reply) { answered(change, repeat, now, reply); });
 }
 
@@ -82,13 +90,17 @@
   rapidjson::Document body;
   body.Parse(reply.body.data(), reply.body.size());
   if (reply.status == 200 && body.IsObject()) {
+    if (json_string_at(body, "/change") != change.id)
+      ledger_.breach(change.id + " acknowledged as " + json_string_at(body, "/change"));
     ledger_.accepted(change, json_count_at(body, "/version"), now);
   } else {
-    const auto newest = body.IsObject() ? json_count_at(body, "/newest") : 0;
+    std::optional<std::uint64_t> newest;
+    if (!form_.numbered) newest = body.IsObject() ? json_count_at(body, "/newest") : 0;
     ledger_.refused(change, reply.status, newest, sent);
-    known_ = std::max(known_, newest);
+    known_ = std::max(known_, newest.value_or(0));
     // A large change that lost the race is begun anew.
-    if (!repeat && change.until - change.from > 1) share_.large_change = change.until - change.from;
+    const auto routes = change.routes.until - change.routes.from;
+    if (!repeat && routes > 1) share_.large_change = routes;
   }
   if (!repeat) change_.reset();
 }
--- a/test/soak/operators.hpp
+++ b/test/soak/operators.hpp
@@ -9,6 +9,8 @@
 struct OperatorShare {
   std::size_t next_route = 0;
   std::size_t next_due = 6000;
+  /// Operators' own revisions rise in uneven steps; the first document has 1.
+  std::uint64_t newest_revision = 1;
   /// So many routes are added by one change once this many changes are acknowledged.
   std::size_t large_change = 0;
   std::size_t large_after = 6;
@@ -18,7 +20,8 @@
 /// until it hears clearly; it races with the others for each version.
 class Operator {
  public:
-  Operator(std::string name, FleetView fleet, Asker& asker, Ledger& ledger, OperatorShare& share, std::uint64_t seed);
+  Operator(std::string name, FleetView fleet, Asker& asker, Ledger& ledger, OperatorShare& share,
+           const DocumentForm& form, std::uint64_t seed);
   void tick(Moment now);
   /// Begins no change any more.
   void stop() { stopped_ = true; }
@@ -38,6 +41,7 @@
   Asker& asker_;
   Ledger& ledger_;
   OperatorShare& share_;
+  const DocumentForm& form_;
   Random random_;
   std::optional<SoakChange> change_;
   std::uint64_t known_ = 0;
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <atomic>
 
-#include "document.hpp"
 #include "soakrun.hpp"
 
 namespace weldsail::soak {
@@ -18,7 +17,7 @@
 
 Run::Run(const SoakPlan& plan) : plan_(plan), fleet_(plan.binaries, real_plan()) {
   const auto first_routes = std::max<std::size_t>(1, plan_.routes / 2);
-  document_ = first_document(first_routes);
+  document_ = plan_.form->first_document(first_routes);
   share_.next_route = first_routes;
   share_.large_change = plan_.routes - first_routes;
 }
@@ -27,7 +26,7 @@
   RealPlan real;
   real.control = plan_.control;
   real.data = plan_.data;
-  real.data_options = {"--hold-ms", "300"};
+  if (!plan_.form->numbered) real.data_options = {"--hold-ms", "300"};
   real.prepared = [this](Child& child) { prepare(child); };
   return real;
 }
@@ -38,13 +37,16 @@
   const auto listens = host_of(listen_hosts, process);
   relayed_ = relay_.add(child.peers, listens, process, ChannelKind::peers) &&
              relay_.add(child.callers, listens, process, ChannelKind::callers) && relayed_;
-  if (child.folder.empty() && process % 2 == 0) {
+  if (plan_.form->numbered) deploy(child);
+  if (!child.aside.empty()) relayed_ = relay_.add(child.aside, listens, process, ChannelKind::callers) && relayed_;
+  if (!plan_.form->numbered && child.folder.empty() && process % 2 == 0) {
     child.arguments.emplace_back("--folder");
     child.arguments.push_back(fleet_.folder() + "/" + child.name);
   }
-  const std::vector<std::string> before = {"/usr/bin/env", "ASAN_OPTIONS=verify_asan_link_order=0",
-                                           "LD_PRELOAD=" + plan_.own_host, "WELDSAIL_LISTEN_HOST=" + listens,
-                                           "WELDSAIL_CONNECT_HOST=" + host_of(connect_hosts, process)};
+  std::vector<std::string> before = {"/usr/bin/env", "ASAN_OPTIONS=verify_asan_link_order=0",
+                                     "LD_PRELOAD=" + plan_.own_host, "WELDSAIL_LISTEN_HOST=" + listens,
+                                     "WELDSAIL_CONNECT_HOST=" + host_of(connect_hosts, process)};
+  if (plan_.form->numbered) before.push_back("WELDSAIL_CONFIG=" + settings_path(child));
   child.arguments.insert(child.arguments.begin(), before.begin(), before.end());
 }
 
@@ -83,22 +85,23 @@
 }
 
 bool Run::begin() {
-  if (!fleet_.start() || !relayed_) return false;
-  const auto put =
-      fleet_.ask_until_good("PUT", fleet_.controls[0].callers, "/v1/config",
-                            {{"weldsail-base", "0"}, {"weldsail-change", "first"}}, document_, start_within);
+  if (!units_.listen() || !fleet_.start() || !relayed_) return false;
+  const auto request = plan_.form->first_request(document_);
+  const auto put = fleet_.ask_until_good(request.method, fleet_.controls[0].callers, request.path, request.headers,
+                                         request.body, start_within);
   if (put.status != 200) return false;
   const auto calm_since = [this](std::size_t process) {
     return troubles_ ? troubles_->calm_since(process) : std::optional<Moment>(0);
   };
-  watch_.emplace(view_, asker_, ledger_, calm_since, plan_.adopt_within, plan_.seed * 7 + 1);
+  if (plan_.form->numbered) write_settings(false);
+  watch_.emplace(view_, asker_, ledger_, *plan_.form, calm_since, plan_.adopt_within, plan_.seed * 7 + 1);
   return until([&] { return watch_->in_force_everywhere(version_of(put)); }, start_within);
 }
 
 void Run::trouble() {
   operators_.reserve(operators_count);
   for (std::size_t place = 0; place < operators_count; ++place)
-    operators_.emplace_back("operator" + std::to_string(place), view_, asker_, ledger_, share_,
+    operators_.emplace_back("operator" + std::to_string(place), view_, asker_, ledger_, share_, *plan_.form,
                             plan_.seed * 31 + place);
   const auto bytes = relay_.peer_bytes();
   troubles_.emplace(view_, relay_, ledger_, plan_.seed);
@@ -149,6 +152,7 @@
     figure("statuses", watch_->statuses());
     figure("probes_answered", watch_->probes_told());
     figure("late_routes_in_trouble", watch_->probes_excused());
+    figure("late_versions_in_trouble", watch_->versions_excused());
     figure("configuration_bytes_sent", watch_->sum(&ProcessCounters::configuration_bytes_sent));
     figure("transfers_repeated", watch_->sum(&ProcessCounters::transfers_repeated));
     figure("invariant_violations", watch_->sum(&ProcessCounters::invariant_violations));
--- a/test/soak/soak.hpp
+++ b/test/soak/soak.hpp
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "core/event.hpp"
+#include "documentform.hpp"
 
 namespace weldsail::soak {
 
@@ -12,6 +13,7 @@
   std::string binaries;
   /// The library that gives each process hosts of its own.
   std::string own_host;
+  const DocumentForm* form = &deployment_form();
   std::size_t control = 5;
   std::size_t data = 8;
   std::size_t routes = 1500;
--- a/test/soak/soakjudge.cpp
+++ b/test/soak/soakjudge.cpp
@@ -3,7 +3,6 @@
 #include <filesystem>
 
 #include "core/json.hpp"
-#include "document.hpp"
 
 /// What a run is judged by once its trouble is over.
 namespace weldsail::soak {
@@ -22,18 +21,24 @@
 void Run::calm() {
   const auto document = ask(0, "/v1/config");
   auto version = version_of(document);
+  auto number = plan_.form->numbered ? plan_.form->revision(document.body) : version;
   fresh_statuses();
   const auto counted = watch_->sum(&ProcessCounters::configuration_bytes_sent);
   const auto bytes = relay_.peer_bytes();
   const auto begun = monotonic_now();
   for (std::size_t place = 0; place < calm_changes; ++place) {
-    SoakChange change{"calm" + std::to_string(place), version, {}, place, place + 1, 50000 + place};
-    change.body = change_body(change.from, change.until, change.due_ms);
-    const auto reply = fleet_.ask_until_good(
-        "POST", fleet_.controls[place % plan_.control].callers, "/v1/config/change",
-        {{"weldsail-base", std::to_string(version)}, {"weldsail-change", change.id}}, change.body, plan_.patience);
+    SoakChange change;
+    change.base = number;
+    change.routes = {place, place + 1, 50000 + place, plan_.form->numbered ? number + 1 : 0};
+    change.body = plan_.form->change_body(change.routes);
+    change.id = plan_.form->identity("calm" + std::to_string(place), change.base, change.body);
+    ledger_.sent(change, monotonic_now());
+    const auto request = plan_.form->change_request(change.id, change.base, change.body);
+    const auto reply = fleet_.ask_until_good(request.method, fleet_.controls[place % plan_.control].callers,
+                                             request.path, request.headers, request.body, plan_.patience);
     if (reply.status != 200) return ledger_.breach("a change on a calm fleet is answered with " + reply.body);
     version = version_of(reply);
+    number = plan_.form->numbered ? change.routes.revision : version;
     ledger_.accepted(change, version, monotonic_now());
     if (!until([&] { return watch_->in_force_everywhere(version); }, plan_.patience))
       return ledger_.breach("on a calm fleet version " + std::to_string(version) +
@@ -54,14 +59,13 @@
 }
 
 void Run::judge_document(const std::string& document) {
-  rapidjson::Document read;
-  read.Parse(document.data(), document.size());
+  const auto dues = plan_.form->dues(document);
   std::map<std::size_t, std::pair<std::uint64_t, std::size_t>> wanted;
   for (const auto& [version, entry] : ledger_.changes())
-    for (auto number = entry.change.from; number < entry.change.until; ++number)
-      wanted[number] = {version, entry.change.due_ms};
+    for (auto number = entry.change.routes.from; number < entry.change.routes.until; ++number)
+      wanted[number] = {version, entry.change.routes.due_ms};
   for (const auto& [number, last] : wanted)
-    if (json_count_at(read, (route_pointer(number) + "/due_ms").c_str()) != last.second)
+    if (const auto found = dues.find(number); found == dues.end() || found->second != last.second)
       ledger_.breach("lost: route " + std::to_string(number) + " isn't as version " + std::to_string(last.first) +
                      " made it");
 }
--- a/test/soak/soakrun.hpp
+++ b/test/soak/soakrun.hpp
@@ -2,6 +2,7 @@
 #include "operators.hpp"
 #include "soak.hpp"
 #include "troubles.hpp"
+#include "unitlist.hpp"
 #include "watch.hpp"
 
 namespace weldsail::soak {
@@ -15,6 +16,11 @@
  private:
   RealPlan real_plan();
   void prepare(Child& child);
+  /// Gives the process the settings that a deployment delivers; `first_start` until the fleet has formed.
+  void deploy(Child& child);
+  std::string settings_path(const Child& child) const;
+  void write_settings(const Child& child, bool first_start) const;
+  void write_settings(bool first_start) const;
   bool begin();
   void trouble();
   bool settle();
@@ -37,7 +43,8 @@
   RealFleet fleet_;
   FleetView view_{fleet_};
   Asker asker_{fleet_.loop()};
-  Ledger ledger_;
+  Ledger ledger_{*plan_.form};
+  UnitList units_{fleet_.loop()};
   OperatorShare share_;
   std::vector<Operator> operators_;
   std::optional<Troubles> troubles_;
--- a/test/soak/watch.cpp
+++ b/test/soak/watch.cpp
@@ -7,7 +7,6 @@
 #include <fstream>
 
 #include "core/json.hpp"
-#include "document.hpp"
 
 namespace weldsail::soak {
 namespace {
@@ -37,11 +36,12 @@
 
 }  // namespace
 
-Watch::Watch(FleetView fleet, Asker& asker, Ledger& ledger, CalmSince calm_since, Moment adopt_within,
-             std::uint64_t seed)
+Watch::Watch(FleetView fleet, Asker& asker, Ledger& ledger, const DocumentForm& form, CalmSince calm_since,
+             Moment adopt_within, std::uint64_t seed)
     : fleet_(fleet),
       asker_(asker),
       ledger_(ledger),
+      form_(form),
       calm_since_(std::move(calm_since)),
       adopt_within_(adopt_within),
       random_(seed),
@@ -81,10 +81,12 @@
   auto& view = views_[process];
   view.asking = true;
   asker_.ask({"GET", fleet_.direct(process), "/v1/status", {}, {}, status_within},
-             [this, process, pid = view.pid](const Reply& reply) { take_status(process, pid, reply); });
+             [this, process, pid = view.pid, sent = monotonic_now()](const Reply& reply) {
+               take_status(process, pid, sent, reply);
+             });
 }
 
-void Watch::take_status(std::size_t process, int pid, const Reply& reply) {
+void Watch::take_status(std::size_t process, int pid, Moment sent, const Reply& reply) {
   auto& view = views_[process];
   if (view.pid != pid) return;
   view.asking = false;
@@ -100,6 +102,7 @@
   };
   if (version < view.in_force) tell("went back", view.in_force);
   if (view.in_force == 0 && version != 0 && version < view.highest) tell("came back older", view.highest);
+  if (!fleet_.is_control(process)) judge_version(process, version, sent);
   view.in_force = version;
   view.highest = std::max(view.highest, version);
   view.counters = {counter_of(status, "/configuration_bytes_sent"), counter_of(status, "/transfers_repeated"),
@@ -111,9 +114,10 @@
 
 void Watch::read_configuration(Moment now) {
   next_read_ = now + read_pause;
-  const auto& child = fleet_.child(pick(random_, fleet_.size()));
-  asker_.ask({"GET", child.callers, "/v1/config", {}, {}, read_within},
-             [this, now, name = child.name](const Reply& reply) {
+  const auto process = pick(random_, fleet_.size());
+  const std::string path = fleet_.is_control(process) ? form_.read_path : "/v1/config";
+  asker_.ask({"GET", fleet_.operators(process), path, {}, {}, read_within},
+             [this, now, name = fleet_.child(process).name](const Reply& reply) {
                if (reply.whole && reply.status == 200) ledger_.read(name, version_of(reply), reply.body, now);
              });
 }
@@ -125,9 +129,9 @@
   const auto number = routes[pick(random_, routes.size())];
   const auto process = fleet_.controls() + pick(random_, fleet_.size() - fleet_.controls());
   ++probes_;
-  const Question question{
-      "POST",      fleet_.child(process).callers, route_path(number), {{"weldsail-due", "500"}}, R"({"caller":"soak"})",
-      probe_within};
+  auto question = form_.probe(number);
+  question.address = fleet_.child(process).callers;
+  question.within = probe_within;
   asker_.ask(question, [this, process, number, now](const Reply& reply) {
     if (!reply.whole || reply.status == 0) return;
     ++probes_told_;
@@ -135,6 +139,20 @@
   });
 }
 
+/// A data process that has been free of trouble for the bound has every change in force that was acknowledged by then.
+void Watch::judge_version(std::size_t process, std::uint64_t version, Moment sent) {
+  const auto least = ledger_.newest_until(sent - adopt_within_);
+  if (version >= least) return;
+  const auto calm = calm_since_(process);
+  if (!calm || *calm + adopt_within_ > sent) {
+    ++versions_excused_;
+    return;
+  }
+  ledger_.breach("late: " + fleet_.child(process).name + " has version " + std::to_string(version) + " in force, " +
+                 std::to_string(least) + " was acknowledged " +
+                 std::to_string(sent - ledger_.changes().at(least).first_heard) + " ms before it was asked");
+}
+
 void Watch::judge_unknown_route(std::size_t process, std::size_t route, Moment sent) {
   const auto calm = calm_since_(process);
   if (!calm || *calm + adopt_within_ > sent) {
--- a/test/soak/watch.hpp
+++ b/test/soak/watch.hpp
@@ -31,7 +31,8 @@
  public:
   /// Since when a process is free of trouble; nothing while it isn't.
   using CalmSince = std::function<std::optional<Moment>(std::size_t)>;
-  Watch(FleetView fleet, Asker& asker, Ledger& ledger, CalmSince calm_since, Moment adopt_within, std::uint64_t seed);
+  Watch(FleetView fleet, Asker& asker, Ledger& ledger, const DocumentForm& form, CalmSince calm_since,
+        Moment adopt_within, std::uint64_t seed);
   void tick(Moment now);
   /// True when every process runs and has exactly this version in force.
   bool in_force_everywhere(std::uint64_t version) const;
@@ -45,13 +46,16 @@
   std::size_t probes_told() const { return probes_told_; }
   /// Answers of 404 by processes that were in trouble after the route was acknowledged: they serve on as they are.
   std::size_t probes_excused() const { return probes_excused_; }
+  /// Statuses with an older version than acknowledged by processes that were in trouble meanwhile.
+  std::size_t versions_excused() const { return versions_excused_; }
   /// Counters of all processes added up; nothing when a process doesn't tell one.
   std::optional<std::uint64_t> sum(std::optional<std::uint64_t> ProcessCounters::*counter) const;
 
  private:
   void look(std::size_t process);
   void ask_status(std::size_t process);
-  void take_status(std::size_t process, int pid, const Reply& reply);
+  void take_status(std::size_t process, int pid, Moment sent, const Reply& reply);
+  void judge_version(std::size_t process, std::uint64_t version, Moment sent);
   void read_configuration(Moment now);
   void probe_route(Moment now);
   void judge_unknown_route(std::size_t process, std::size_t route, Moment sent);
@@ -59,6 +63,7 @@
   FleetView fleet_;
   Asker& asker_;
   Ledger& ledger_;
+  const DocumentForm& form_;
   CalmSince calm_since_;
   Moment adopt_within_;
   Random random_;
@@ -67,6 +72,7 @@
   std::size_t probes_ = 0;
   std::size_t probes_told_ = 0;
   std::size_t probes_excused_ = 0;
+  std::size_t versions_excused_ = 0;
   Moment next_look_ = 0;
   Moment next_read_ = 0;
   Moment next_probe_ = 0;
--- a/test/tools/realfleet.hpp
+++ b/test/tools/realfleet.hpp
@@ -13,6 +13,8 @@
   std::string callers;
   std::string peers;
   std::string folder;
+  /// A second address for operators, where the process got one; it is none of RealFleet's own arguments.
+  std::string aside;
   int pid = 0;
 };
 
