--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -31,6 +31,10 @@
   TCLAP::ValueArg<std::size_t> data("", "data", "wsdp processes", false, 8, "count", line);
   TCLAP::ValueArg<std::string> form("", "form", "form of configuration: deployment or product", false, "deployment",
                                     "name", line);
+  TCLAP::ValueArg<std::size_t> workers("", "workers", "stand-in workers, with callers; form product only", false, 0,
+                                       "count", line);
+  TCLAP::ValueArg<std::int64_t> served(
+      "", "served-s", "time after the last trouble in which every route is served again", false, 30, "s", line);
   TCLAP::ValueArg<std::int64_t> patience("", "patience", "longest wait for each state", false, 120, "s", line);
   TCLAP::ValueArg<std::uint64_t> memory("", "memory-mb", "memory that a process may have beside the documents", false,
                                         32, "MB", line);
@@ -53,6 +57,12 @@
     return 2;
   }
   plan.form = form.getValue() == "product" ? &soak::product_form() : &soak::deployment_form();
+  plan.workers = std::min<std::size_t>(workers.getValue(), 12);
+  if (plan.workers != 0 && (plan.form->numbered || plan.workers < 3)) {
+    std::cerr << "wssoak: --workers: at least 3, and only with --form product\n";
+    return 2;
+  }
+  plan.served_within = served.getValue() * 1000;
   plan.routes = std::max<std::size_t>(routes.getValue(), 40);
   plan.trouble_length = seconds.getValue() * 1000;
   plan.patience = patience.getValue() * 1000;
--- a/test/soak/productform.cpp
+++ b/test/soak/productform.cpp
@@ -6,11 +6,12 @@
 
 constexpr std::size_t tenants = 20;
 constexpr std::size_t first_due = 5000;
+const std::string route_begin = "route";
 constexpr const char* config_path = "/v1/config";
 
 std::string tenant_name(std::size_t number) { return "tenant" + std::to_string(number % tenants); }
 
-std::string route_name(std::size_t number) { return "route" + std::to_string(number); }
+std::string route_name(std::size_t number) { return route_begin + std::to_string(number); }
 
 std::string route_pointer(std::size_t number) {
   return "/cells/hall/tenants/" + tenant_name(number) + "/routes/" + route_name(number);
@@ -21,10 +22,13 @@
 }
 
 std::string first_document(std::size_t routes) {
-  std::string text = R"({"store":{"loads_per_s":2},"models":{"m1":{"weights_mb":40}},"cells":{"hall":{)"
-                     R"("services":{"models":{"kind":"model"},"booking":{"kind":"call"}},"tenants":{)";
+  std::string text =
+      R"({"store":{"loads_per_s":4},"models":{"m1":{"weights_mb":40},"m2":{"weights_mb":40}},"cells":{"hall":{)"
+      R"("services":{"models":{"kind":"model"},"booking":{"kind":"call"}},"tenants":{"callers":{"routes":{)"
+      R"("chat1":{"kind":"stream","model":"m1"},"chat2":{"kind":"stream","model":"m2","resumable":true},)"
+      R"("seat":{"kind":"call","service":"booking"}}})";
   for (std::size_t tenant = 0; tenant < tenants; ++tenant) {
-    text += (tenant == 0 ? "\"" : ",\"") + tenant_name(tenant) + "\":{\"routes\":{";
+    text += ",\"" + tenant_name(tenant) + "\":{\"routes\":{";
     for (std::size_t number = tenant; number < routes; number += tenants)
       text += (number == tenant ? "\"" : ",\"") + route_name(number) + "\":" + route_text(first_due);
     text += "}}";
@@ -68,8 +72,8 @@
   if (listed == nullptr) return result;
   for (const auto& tenant : listed->GetObject())
     for (const auto& route : tenant.value["routes"].GetObject())
-      result[std::stoull(json_string(route.name).substr(route_name(0).size() - 1))] =
-          json_count_at(route.value, "/due_ms");
+      if (const auto name = json_string(route.name); name.starts_with(route_begin))
+        result[std::stoull(name.substr(route_begin.size()))] = json_count_at(route.value, "/due_ms");
   return result;
 }
 
--- a/test/soak/relay.hpp
+++ b/test/soak/relay.hpp
@@ -26,7 +26,7 @@
 };
 
 /// Which channel of a process a connection belongs to.
-enum class ChannelKind { peers, callers };
+enum class ChannelKind { peers, callers, workers };
 
 /// Any process, and whoever isn't one of the fleet.
 inline constexpr int any_process = -1;
--- a/test/soak/settings.cpp
+++ b/test/soak/settings.cpp
@@ -58,7 +58,7 @@
 std::string Run::settings_path(const Child& child) const { return fleet_.folder() + "/" + child.name + ".json"; }
 
 void Run::write_settings(const Child& child, bool first_start) const {
-  std::ofstream(settings_path(child)) << settings_text(fleet_, child, units_.address(), first_start);
+  std::ofstream(settings_path(child)) << settings_text(fleet_, child, list_.address(), first_start);
 }
 
 void Run::write_settings(bool first_start) const {
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-Run::Run(const SoakPlan& plan) : plan_(plan), fleet_(plan.binaries, real_plan()) {
+Run::Run(const SoakPlan& plan) : plan_(plan), fleet_(plan.binaries, real_plan()), workers_(fleet_, plan.binaries) {
   const auto first_routes = std::max<std::size_t>(1, plan_.routes / 2);
   document_ = plan_.form->first_document(first_routes);
   share_.next_route = first_routes;
@@ -43,18 +43,36 @@
     child.arguments.emplace_back("--folder");
     child.arguments.push_back(fleet_.folder() + "/" + child.name);
   }
-  std::vector<std::string> before = {"/usr/bin/env", "ASAN_OPTIONS=verify_asan_link_order=0",
-                                     "LD_PRELOAD=" + plan_.own_host, "WELDSAIL_LISTEN_HOST=" + listens,
-                                     "WELDSAIL_CONNECT_HOST=" + host_of(connect_hosts, process)};
+  const auto platform = std::ranges::find(child.arguments, "--platform");
+  if (platform != child.arguments.end()) *std::next(platform) = list_.address();
+  auto before = own_hosts(plan_.own_host, process);
   if (plan_.form->numbered) before.push_back("WELDSAIL_CONFIG=" + settings_path(child));
   child.arguments.insert(child.arguments.begin(), before.begin(), before.end());
 }
 
+/// Workers stand behind the relay, too; their process numbers follow those of the fleet.
+bool Run::start_workers() {
+  const auto first = plan_.control + plan_.data;
+  workers_.make(plan_.workers, static_cast<int>(first), plan_.own_host);
+  std::vector<WorkerList::Entry> listed;
+  for (std::size_t place = 0; place < plan_.workers; ++place) {
+    const auto process = static_cast<int>(first + place);
+    const auto& address = workers_.children[place].callers;
+    if (!relay_.add(address, host_of(listen_hosts, process), process, ChannelKind::workers)) relayed_ = false;
+    workers_.start(place);
+    listed.push_back({address, workers_.service(place)});
+  }
+  list_.tell(std::move(listed));
+  return relayed_;
+}
+
 bool Run::until(const std::function<bool()>& done, Moment within) {
   return fleet_.pump(
       [&] {
         const auto now = monotonic_now();
         asker_.tick(now);
+        list_.sweep(now);
+        if (callers_) callers_->tick(now);
         if (troubles_) troubles_->tick(now);
         for (auto& item : operators_) item.tick(now);
         if (watch_) watch_->tick(now);
@@ -85,7 +103,7 @@
 }
 
 bool Run::begin() {
-  if (!units_.listen() || !fleet_.start() || !relayed_) return false;
+  if (!list_.listen() || !start_workers() || !fleet_.start() || !relayed_) return false;
   const auto request = plan_.form->first_request(document_);
   const auto put = fleet_.ask_until_good(request.method, fleet_.controls[0].callers, request.path, request.headers,
                                          request.body, start_within);
@@ -105,6 +123,7 @@
                             plan_.seed * 31 + place);
   const auto bytes = relay_.peer_bytes();
   troubles_.emplace(view_, relay_, ledger_, plan_.seed);
+  if (plan_.workers != 0) callers_.emplace(view_, asker_, ledger_, *troubles_, plan_.adopt_within, plan_.seed * 13 + 5);
   until([] { return false; }, plan_.trouble_length);
   troubles_->end();
   figure("trouble_peer_bytes", relay_.peer_bytes() - bytes);
@@ -132,6 +151,7 @@
     ledger_.breach("the fleet didn't start");
   } else {
     trouble();
+    if (callers_) judge_callers();
     if (settle()) calm();
     judge_end();
     judge_memory();
@@ -148,6 +168,9 @@
   figure("unclear_answers", unclear);
   figure("repeats", repeated);
   figure("reads", ledger_.reads());
+  if (callers_) {
+    for (const auto& [name, count] : callers_->outcomes()) figure("requests_" + name, count);
+  }
   if (watch_) {
     figure("statuses", watch_->statuses());
     figure("probes_answered", watch_->probes_told());
--- a/test/soak/soak.hpp
+++ b/test/soak/soak.hpp
@@ -16,6 +16,8 @@
   const DocumentForm* form = &deployment_form();
   std::size_t control = 5;
   std::size_t data = 8;
+  /// Stand-in workers with callers of them; the product's form only.
+  std::size_t workers = 0;
   std::size_t routes = 1500;
   Moment trouble_length = 30000;
   /// Folder to which the logs of a failed run are copied; none when empty.
@@ -24,6 +26,8 @@
   Moment patience = 120000;
   /// A data process free of trouble answers by an acknowledged configuration after this time.
   Moment adopt_within = 2500;
+  /// After the last trouble each route is served again within this.
+  Moment served_within = 30000;
   /// Most memory of a process: a base and so many times the document.
   std::uint64_t memory_base = 32U << 20U;
   std::uint64_t memory_documents = 200;
--- a/test/soak/soakjudge.cpp
+++ b/test/soak/soakjudge.cpp
@@ -70,6 +70,16 @@
                      " made it");
 }
 
+void Run::judge_callers() {
+  const auto ended = monotonic_now();
+  if (!until([&] { return callers_->served_since(ended); }, plan_.served_within))
+    ledger_.breach("a route isn't served " + std::to_string(plan_.served_within) + " ms after the last trouble");
+  figure("served_ms", static_cast<std::uint64_t>(monotonic_now() - ended));
+  callers_->stop();
+  if (!until([&] { return callers_->idle(); }, plan_.patience)) ledger_.breach("a caller's request never ended");
+  callers_->judge_runs(workers_.runs_by_caller());
+}
+
 void Run::judge_end() {
   std::string document;
   for (std::size_t process = 0; process < view_.size(); ++process) {
--- a/test/soak/soakrun.hpp
+++ b/test/soak/soakrun.hpp
@@ -1,9 +1,10 @@
 #pragma once
+#include "callers.hpp"
 #include "operators.hpp"
 #include "soak.hpp"
 #include "troubles.hpp"
-#include "unitlist.hpp"
 #include "watch.hpp"
+#include "workerlist.hpp"
 
 namespace weldsail::soak {
 
@@ -25,6 +26,9 @@
   void trouble();
   bool settle();
   void calm();
+  bool start_workers();
+  /// Waits until every route is served again, and judges what the workers have run.
+  void judge_callers();
   void judge_end();
   void judge_memory();
   void keep_logs() const;
@@ -41,14 +45,16 @@
   SoakPlan plan_;
   Relay relay_;
   RealFleet fleet_;
-  FleetView view_{fleet_};
+  Workers workers_;
+  FleetView view_{fleet_, workers_};
   Asker asker_{fleet_.loop()};
   Ledger ledger_{*plan_.form};
-  UnitList units_{fleet_.loop()};
+  WorkerList list_{fleet_.loop()};
   OperatorShare share_;
   std::vector<Operator> operators_;
   std::optional<Troubles> troubles_;
   std::optional<Watch> watch_;
+  std::optional<Callers> callers_;
   std::string document_;
   std::size_t document_most_ = 0;
   std::string figures_;
--- a/test/soak/troubles.cpp
+++ b/test/soak/troubles.cpp
@@ -1,5 +1,7 @@
 #include "troubles.hpp"
 
+#include <sys/wait.h>
+
 #include <algorithm>
 #include <csignal>
 
@@ -7,45 +9,91 @@
 namespace {
 
 constexpr std::size_t at_once = 3;
-constexpr std::size_t kinds = 8;
-constexpr const char* names[kinds] = {"kill",     "pause",          "cut",         "one_way", "stall",
-                                      "throttle", "operators_slow", "lost_answers"};
+constexpr std::size_t kinds = 9;
+/// Data processes are told to leave only where workers serve callers.
+constexpr std::size_t kinds_without_workers = 8;
+/// So many times more often than the others.
+constexpr std::size_t leave_extra = 1;
+constexpr const char* names[kinds] = {"kill",     "pause",          "cut",          "one_way", "stall",
+                                      "throttle", "operators_slow", "lost_answers", "leave"};
 constexpr Moment shortest = 300;
 constexpr std::size_t length_spread = 5000;
 constexpr std::size_t pause_spread = 1500;
+/// A leaving process has ended after this: its own limit of 10 s, and generously more on a crowded machine.
+constexpr Moment leave_within = 30000;
 /// Rates in bytes a millisecond; 1 is a link of 8 Kbit/s.
 constexpr double rates[] = {2, 20, 100, 400};
 
 }  // namespace
 
 Troubles::Troubles(FleetView fleet, Relay& relay, Ledger& ledger, std::uint64_t seed)
-    : fleet_(fleet), relay_(relay), ledger_(ledger), random_(seed), calm_since_(fleet.size(), 0) {}
+    : fleet_(fleet),
+      relay_(relay),
+      ledger_(ledger),
+      random_(seed),
+      calm_since_(fleet.size() + fleet.workers(), 0),
+      disturbed_(fleet.size() + fleet.workers()) {}
 
 void Troubles::tick(Moment now) {
   for (auto item = under_way_.begin(); item != under_way_.end();) {
-    if (now >= item->until) finish(*item);
-    item = now >= item->until ? under_way_.erase(item) : std::next(item);
+    const bool ends = over(*item, now);
+    if (ends) finish(*item);
+    item = ends ? under_way_.erase(item) : std::next(item);
   }
   if (ended_ || now < next_ || under_way_.size() >= at_once) return;
   next_ = now + static_cast<Moment>(pick(random_, pause_spread));
   begin(now);
 }
 
+bool Troubles::disturbs_callers(Kind kind) {
+  return kind == Kind::kill || kind == Kind::pause || kind == Kind::operators_throttle || kind == Kind::lost_answers;
+}
+
+std::size_t Troubles::pick_data() { return fleet_.controls() + pick(random_, fleet_.size() - fleet_.controls()); }
+
+std::size_t Troubles::pick_process() {
+  const auto place = pick(random_, fleet_.workers() == 0 ? 2 : 3);
+  if (place == 0) return pick(random_, fleet_.controls());
+  if (place == 1) return pick_data();
+  return fleet_.size() + pick(random_, fleet_.workers());
+}
+
+/// A process that leaves is started again once it has ended.
+bool Troubles::over(const Trouble& trouble, Moment now) {
+  if (trouble.kind != Kind::leave) return now >= trouble.until;
+  auto& child = fleet_.child(trouble.process);
+  int status = 0;
+  if (waitpid(child.pid, &status, WNOHANG) == child.pid) {
+    child.pid = 0;
+    if (!WIFEXITED(status) || WEXITSTATUS(status) != 0)
+      ledger_.breach(child.name + " left with status " + std::to_string(status));
+    return true;
+  }
+  if (now < trouble.until) return false;
+  ledger_.breach(child.name + " hasn't ended " + std::to_string(leave_within) + " ms after it was told to leave");
+  return true;
+}
+
 void Troubles::begin(Moment now) {
-  Trouble trouble{static_cast<Kind>(pick(random_, kinds)), 0, 0, 0, 0};
-  const bool control = pick(random_, 2) == 0;
-  trouble.process =
-      control ? pick(random_, fleet_.controls()) : fleet_.controls() + pick(random_, fleet_.size() - fleet_.controls());
+  const auto count = fleet_.workers() == 0 ? kinds_without_workers : kinds + leave_extra;
+  Trouble trouble{static_cast<Kind>(std::min(pick(random_, count), kinds - 1)), 0, 0, 0, 0};
+  trouble.process = trouble.kind == Kind::leave ? pick_data() : pick_process();
   trouble.other = trouble.process;
   trouble.until = now + shortest + static_cast<Moment>(pick(random_, length_spread));
   auto& child = fleet_.child(trouble.process);
   if (troubled(trouble.process) || child.pid == 0) return;
+  if (disturbs_callers(trouble.kind)) disturbed_[trouble.process] = now;
   const std::string name = names[static_cast<std::size_t>(trouble.kind)];
   if (trouble.kind == Kind::kill) {
     fleet_.fleet().signal(child, SIGKILL);
     fleet_.fleet().reap(child);
   } else if (trouble.kind == Kind::pause) {
     fleet_.fleet().signal(child, SIGSTOP);
+  } else if (trouble.kind == Kind::leave) {
+    trouble.until = now + leave_within;
+    left_[trouble.process] = {now, 0};
+    child.leaving = true;
+    fleet_.fleet().signal(child, SIGTERM);
   } else {
     trouble.rule = relay_.impose(rule_of(trouble));
   }
@@ -58,12 +106,14 @@
   const auto kind = trouble.kind;
   LinkRule rule;
   rule.target = static_cast<int>(trouble.process);
+  const bool worker = fleet_.is_worker(trouble.process);
+  if (worker) rule.kind = ChannelKind::workers;
   // Half of the link troubles concern all links to the process, the others those from one process or from it.
   const auto shape = pick(random_, 4);
   const auto other = pick(random_, fleet_.size());
   if (shape == 2) trouble.other = other;
   if (shape == 2) rule.source = static_cast<int>(other);
-  if (shape == 3) std::swap(rule.source, rule.target);
+  if (shape == 3 && !worker) std::swap(rule.source, rule.target);
   rule.bytes_per_ms = rates[pick(random_, std::size(rates))];
   switch (kind) {
     case Kind::cut: rule.fault = LinkFault::closed; break;
@@ -76,7 +126,7 @@
     default: break;
   }
   if (kind == Kind::operators_throttle || kind == Kind::lost_answers) {
-    rule.kind = ChannelKind::callers;
+    if (!worker) rule.kind = ChannelKind::callers;
     rule.source = any_process;
     rule.target = static_cast<int>(trouble.process);
     rule.fault = kind == Kind::lost_answers ? LinkFault::discarded : LinkFault::throttled;
@@ -86,10 +136,14 @@
 }
 
 void Troubles::finish(const Trouble& trouble) {
-  calm_since_[trouble.process] = calm_since_[trouble.other] = monotonic_now();
+  const auto now = monotonic_now();
+  calm_since_[trouble.process] = calm_since_[trouble.other] = now;
+  if (disturbs_callers(trouble.kind)) disturbed_[trouble.process] = now;
   auto& child = fleet_.child(trouble.process);
   if (trouble.kind == Kind::kill) {
-    fleet_.fleet().start_child(child);
+    fleet_.start(trouble.process);
+  } else if (trouble.kind == Kind::leave) {
+    end_leaving(trouble);
   } else if (trouble.kind == Kind::pause) {
     fleet_.fleet().signal(child, SIGCONT);
   } else {
@@ -98,6 +152,31 @@
   ledger_.tell(std::string(names[static_cast<std::size_t>(trouble.kind)]) + " of " + child.name + " ends");
 }
 
+/// Starts the process again; one that hasn't ended is killed.
+void Troubles::end_leaving(const Trouble& trouble) {
+  auto& child = fleet_.child(trouble.process);
+  const auto now = monotonic_now();
+  if (child.pid != 0) {
+    disturbed_[trouble.process] = now;
+    fleet_.fleet().signal(child, SIGKILL);
+    fleet_.fleet().reap(child);
+  }
+  left_[trouble.process].restarted = now;
+  fleet_.start(trouble.process);
+}
+
+bool Troubles::callers_disturbed_since(std::size_t process, Moment moment) const {
+  const auto disturbs = [&](const Trouble& item) { return item.process == process && disturbs_callers(item.kind); };
+  return disturbed_[process].value_or(-1) >= moment || std::ranges::any_of(under_way_, disturbs);
+}
+
+std::optional<Moment> Troubles::left_since(std::size_t process, Moment moment) const {
+  const auto found = left_.find(process);
+  if (found == left_.end()) return std::nullopt;
+  const bool before = found->second.restarted != 0 && found->second.restarted < moment;
+  return before ? std::nullopt : std::optional(found->second.told);
+}
+
 void Troubles::end() {
   ended_ = true;
   for (const auto& trouble : under_way_) finish(trouble);
--- a/test/soak/troubles.hpp
+++ b/test/soak/troubles.hpp
@@ -7,7 +7,8 @@
 
 namespace weldsail::soak {
 
-/// Random trouble by seed: up to three kinds at once, each on processes or links of its own choice.
+/// Random trouble by seed: up to three kinds at once, each on processes or links of its own choice. Where there are
+/// workers they are in trouble too, and data processes are told to leave.
 class Troubles {
  public:
   Troubles(FleetView fleet, Relay& relay, Ledger& ledger, std::uint64_t seed);
@@ -16,10 +17,14 @@
   void end();
   /// Since when the process and its own links are free of trouble; nothing while they aren't.
   std::optional<Moment> calm_since(std::size_t process) const;
+  /// True when trouble that may break off a caller's request was on the process at any time since the moment.
+  bool callers_disturbed_since(std::size_t process, Moment moment) const;
+  /// When the process was told to leave, where it was leaving at any time since the moment.
+  std::optional<Moment> left_since(std::size_t process, Moment moment) const;
   const std::map<std::string, std::size_t>& counts() const { return counts_; }
 
  private:
-  enum class Kind { kill, pause, cut, one_way, stall, throttle, operators_throttle, lost_answers };
+  enum class Kind { kill, pause, cut, one_way, stall, throttle, operators_throttle, lost_answers, leave };
   struct Trouble {
     Kind kind;
     std::size_t process;
@@ -30,6 +35,11 @@
   };
   void begin(Moment now);
   void finish(const Trouble& trouble);
+  std::size_t pick_process();
+  std::size_t pick_data();
+  bool over(const Trouble& trouble, Moment now);
+  void end_leaving(const Trouble& trouble);
+  static bool disturbs_callers(Kind kind);
   bool troubled(std::size_t process) const;
   LinkRule rule_of(Trouble& trouble);
 
@@ -40,6 +50,13 @@
   std::list<Trouble> under_way_;
   std::map<std::string, std::size_t> counts_;
   std::vector<Moment> calm_since_;
+  /// When trouble that may break off callers' requests began or ended last, by process.
+  std::vector<std::optional<Moment>> disturbed_;
+  struct Leaving {
+    Moment told = 0;
+    Moment restarted = 0;
+  };
+  std::map<std::size_t, Leaving> left_;
   Moment next_ = 0;
   bool ended_ = false;
 };
--- a/test/soak/watch.cpp
+++ b/test/soak/watch.cpp
@@ -65,7 +65,7 @@
     view.asking = false;
     view.counters = {};
   }
-  if (child.pid == 0) return;
+  if (child.pid == 0 || child.leaving) return;
   int status = 0;
   if (waitpid(child.pid, &status, WNOHANG) == child.pid) {
     child.pid = 0;
--- /dev/null
+++ b/test/soak/workerlist.hpp
@@ -0,0 +1,28 @@
+#pragma once
+#include "shell/server.hpp"
+
+namespace weldsail::soak {
+
+/// The platform's list of workers: the product's own with the addresses given, a deployment's with none.
+class WorkerList {
+ public:
+  struct Entry {
+    std::string address;
+    std::string service;
+  };
+  explicit WorkerList(Loop& loop);
+  /// Listens on a free port; false when that can't be had.
+  bool listen();
+  const std::string& address() const { return address_; }
+  void tell(std::vector<Entry> workers) { workers_ = std::move(workers); }
+  void sweep(Moment now) { server_.sweep(now); }
+
+ private:
+  std::string list_text() const;
+
+  Server server_;
+  std::string address_;
+  std::vector<Entry> workers_;
+};
+
+}  // namespace weldsail::soak
--- a/test/tools/realfleet.hpp
+++ b/test/tools/realfleet.hpp
@@ -16,6 +16,8 @@
   /// A second address for operators, where the process got one; it is none of RealFleet's own arguments.
   std::string aside;
   int pid = 0;
+  /// It was told to leave by SIGTERM: its end is expected.
+  bool leaving = false;
 };
 
 /// What a fleet of real processes is like.
