A data process that has departed answers in the interface's words

Cause: for 200 ms after it has departed, the shell answers whoever still asks on an open connection with 503 and an empty body. On the product's own interface every refusal carries a code and an outcome, and any other whole answer is the worker's own: such a caller couldn't know that nothing was run. Where requests come by host and path, and on control processes, the answer stays as it was: there a bare 503 says it.

Found by the soak with workers.

Ruled out: the refusal while leaving (it has its body), the close of crossed connections.

--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -6,6 +6,7 @@
 
 #include "core/control.hpp"
 #include "core/data.hpp"
+#include "core/json.hpp"
 
 namespace weldsail {
 namespace {
@@ -23,6 +24,19 @@
 /// A data-plane process takes everything in the order in which it came.
 bool may_wait(const DataState&, const Event&) { return false; }
 
+/// What a process that has departed answers: nothing was run, which callers of the product's own interface hear in its
+/// words.
+template <typename State>
+Answer departed_answer(const State& state, std::uint64_t request) {
+  Answer answer{request, 503, {{"retry-after", "0.1"}}, {}, true};
+  if (!std::is_same_v<State, DataState> || state.options.dialect != nullptr) return answer;
+  JsonText text;
+  text.object().field("code", "leaving").field("outcome", "not_run").close();
+  answer.headers.push_back({"content-type", "application/json"});
+  answer.body = text.text();
+  return answer;
+}
+
 template <typename... Handlers>
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
@@ -99,7 +113,7 @@
     // Who still asks on an open pipe hears that nothing was run, and that the pipe ends.
     for (const auto& event : std::exchange(events_, {}))
       if (const auto* request = std::get_if<RequestArrived>(&event))
-        callers_.answer({request->request, 503, {{"retry-after", "0.1"}}, {}, true});
+        callers_.answer(departed_answer(state_, request->request));
   }
 }
 
--- a/test/unit/leavingprocess.cpp
+++ b/test/unit/leavingprocess.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <csignal>
 
 #include "tools/realfleet.hpp"
@@ -83,3 +84,35 @@
   CHECK(stream->got.ends_with("\r\n0\r\n\r\n"));
   CHECK(fleet.reap(node) == 0);
 }
+
+TEST_CASE("whoever still asks a process that has departed hears that nothing was run", "[process]") {
+  constexpr std::size_t callers_count = 40;
+  constexpr Moment pause = 10;
+  constexpr Moment patience = 10000;
+  RealFleet fleet(WELDSAIL_BINARIES, two_workers());
+  REQUIRE(fleet.start());
+  auto& node = fleet.datas[0];
+  REQUIRE(fleet.ask_until_good("GET", node.callers, "/v1/status", {}, {}, 20000).status == 200);
+  std::vector<std::unique_ptr<RawSocket>> callers;
+  while (callers.size() < callers_count) callers.push_back(raw_caller(node.callers));
+  fleet.signal(node, SIGTERM);
+  for (const auto& caller : callers) {
+    caller->try_say(post(R"({"caller": "late", "prompt": "gamarjoba", "max_tokens": 1})"));
+    fleet.pump([] { return false; }, pause);
+  }
+  CHECK(fleet.pump(
+      [&] {
+        for (const auto& caller : callers) caller->hear();
+        return std::ranges::all_of(callers, &RawSocket::ended);
+      },
+      patience));
+  std::size_t answered = 0;
+  for (const auto& caller : callers) {
+    if (!has(*caller, "HTTP/1.1 503")) continue;
+    ++answered;
+    CHECK(has(*caller, "\"outcome\":\"not_run\""));
+    CHECK(has(*caller, "retry-after: "));
+  }
+  CHECK(answered > 0);
+  CHECK(fleet.reap(node) == 0);
+}
