--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <atomic>
 
-#include "document.hpp"
 #include "soakrun.hpp"
 
 namespace weldsail::soak {
@@ -16,9 +15,9 @@
 
 }  // namespace
 
-Run::Run(const SoakPlan& plan) : plan_(plan), fleet_(plan.binaries, real_plan()) {
+Run::Run(const SoakPlan& plan) : plan_(plan), fleet_(plan.binaries, real_plan()), workers_(fleet_, plan.binaries) {
   const auto first_routes = std::max<std::size_t>(1, plan_.routes / 2);
-  document_ = first_document(first_routes);
+  document_ = plan_.form->first_document(first_routes);
   share_.next_route = first_routes;
   share_.large_change = plan_.routes - first_routes;
 }
@@ -27,7 +26,7 @@
   RealPlan real;
   real.control = plan_.control;
   real.data = plan_.data;
-  real.data_options = {"--hold-ms", "300"};
+  if (!plan_.form->numbered) real.data_options = {"--hold-ms", "300"};
   real.prepared = [this](Child& child) { prepare(child); };
   return real;
 }
@@ -38,21 +37,42 @@
   const auto listens = host_of(listen_hosts, process);
   relayed_ = relay_.add(child.peers, listens, process, ChannelKind::peers) &&
              relay_.add(child.callers, listens, process, ChannelKind::callers) && relayed_;
-  if (child.folder.empty() && process % 2 == 0) {
+  if (plan_.form->numbered) deploy(child);
+  if (!child.aside.empty()) relayed_ = relay_.add(child.aside, listens, process, ChannelKind::callers) && relayed_;
+  if (!plan_.form->numbered && child.folder.empty() && process % 2 == 0) {
     child.arguments.emplace_back("--folder");
     child.arguments.push_back(fleet_.folder() + "/" + child.name);
   }
-  const std::vector<std::string> before = {"/usr/bin/env", "ASAN_OPTIONS=verify_asan_link_order=0",
-                                           "LD_PRELOAD=" + plan_.own_host, "WELDSAIL_LISTEN_HOST=" + listens,
-                                           "WELDSAIL_CONNECT_HOST=" + host_of(connect_hosts, process)};
+  const auto platform = std::ranges::find(child.arguments, "--platform");
+  if (platform != child.arguments.end()) *std::next(platform) = list_.address();
+  auto before = own_hosts(plan_.own_host, process);
+  if (plan_.form->numbered) before.push_back("WELDSAIL_CONFIG=" + settings_path(child));
   child.arguments.insert(child.arguments.begin(), before.begin(), before.end());
 }
 
+/// Workers stand behind the relay, too; their process numbers follow those of the fleet.
+bool Run::start_workers() {
+  const auto first = plan_.control + plan_.data;
+  workers_.make(plan_.workers, static_cast<int>(first), plan_.own_host);
+  std::vector<WorkerList::Entry> listed;
+  for (std::size_t place = 0; place < plan_.workers; ++place) {
+    const auto process = static_cast<int>(first + place);
+    const auto& address = workers_.children[place].callers;
+    if (!relay_.add(address, host_of(listen_hosts, process), process, ChannelKind::workers)) relayed_ = false;
+    workers_.start(place);
+    listed.push_back({address, workers_.service(place)});
+  }
+  list_.tell(std::move(listed));
+  return relayed_;
+}
+
 bool Run::until(const std::function<bool()>& done, Moment within) {
   return fleet_.pump(
       [&] {
         const auto now = monotonic_now();
         asker_.tick(now);
+        list_.sweep(now);
+        if (callers_) callers_->tick(now);
         if (troubles_) troubles_->tick(now);
         for (auto& item : operators_) item.tick(now);
         if (watch_) watch_->tick(now);
@@ -83,25 +103,27 @@
 }
 
 bool Run::begin() {
-  if (!fleet_.start() || !relayed_) return false;
-  const auto put =
-      fleet_.ask_until_good("PUT", fleet_.controls[0].callers, "/v1/config",
-                            {{"weldsail-base", "0"}, {"weldsail-change", "first"}}, document_, start_within);
+  if (!list_.listen() || !start_workers() || !fleet_.start() || !relayed_) return false;
+  const auto request = plan_.form->first_request(document_);
+  const auto put = fleet_.ask_until_good(request.method, fleet_.controls[0].callers, request.path, request.headers,
+                                         request.body, start_within);
   if (put.status != 200) return false;
   const auto calm_since = [this](std::size_t process) {
     return troubles_ ? troubles_->calm_since(process) : std::optional<Moment>(0);
   };
-  watch_.emplace(view_, asker_, ledger_, calm_since, plan_.adopt_within, plan_.seed * 7 + 1);
+  if (plan_.form->numbered) write_settings(false);
+  watch_.emplace(view_, asker_, ledger_, *plan_.form, calm_since, plan_.adopt_within, plan_.seed * 7 + 1);
   return until([&] { return watch_->in_force_everywhere(version_of(put)); }, start_within);
 }
 
 void Run::trouble() {
   operators_.reserve(operators_count);
   for (std::size_t place = 0; place < operators_count; ++place)
-    operators_.emplace_back("operator" + std::to_string(place), view_, asker_, ledger_, share_,
+    operators_.emplace_back("operator" + std::to_string(place), view_, asker_, ledger_, share_, *plan_.form,
                             plan_.seed * 31 + place);
   const auto bytes = relay_.peer_bytes();
   troubles_.emplace(view_, relay_, ledger_, plan_.seed);
+  if (plan_.workers != 0) callers_.emplace(view_, asker_, ledger_, *troubles_, plan_.adopt_within, plan_.seed * 13 + 5);
   until([] { return false; }, plan_.trouble_length);
   troubles_->end();
   figure("trouble_peer_bytes", relay_.peer_bytes() - bytes);
@@ -129,6 +151,7 @@
     ledger_.breach("the fleet didn't start");
   } else {
     trouble();
+    if (callers_) judge_callers();
     if (settle()) calm();
     judge_end();
     judge_memory();
@@ -145,10 +168,14 @@
   figure("unclear_answers", unclear);
   figure("repeats", repeated);
   figure("reads", ledger_.reads());
+  if (callers_) {
+    for (const auto& [name, count] : callers_->outcomes()) figure("requests_" + name, count);
+  }
   if (watch_) {
     figure("statuses", watch_->statuses());
     figure("probes_answered", watch_->probes_told());
     figure("late_routes_in_trouble", watch_->probes_excused());
+    figure("late_versions_in_trouble", watch_->versions_excused());
     figure("configuration_bytes_sent", watch_->sum(&ProcessCounters::configuration_bytes_sent));
     figure("transfers_repeated", watch_->sum(&ProcessCounters::transfers_repeated));
     figure("invariant_violations", watch_->sum(&ProcessCounters::invariant_violations));
--- a/test/soak/soakrun.hpp
+++ b/test/soak/soakrun.hpp
@@ -1,8 +1,10 @@
 #pragma once
+#include "callers.hpp"
 #include "operators.hpp"
 #include "soak.hpp"
 #include "troubles.hpp"
 #include "watch.hpp"
+#include "workerlist.hpp"
 
 namespace weldsail::soak {
 
@@ -15,10 +17,18 @@
  private:
   RealPlan real_plan();
   void prepare(Child& child);
+  /// Gives the process the settings that a deployment delivers; `first_start` until the fleet has formed.
+  void deploy(Child& child);
+  std::string settings_path(const Child& child) const;
+  void write_settings(const Child& child, bool first_start) const;
+  void write_settings(bool first_start) const;
   bool begin();
   void trouble();
   bool settle();
   void calm();
+  bool start_workers();
+  /// Waits until every route is served again, and judges what the workers have run.
+  void judge_callers();
   void judge_end();
   void judge_memory();
   void keep_logs() const;
@@ -35,13 +45,16 @@
   SoakPlan plan_;
   Relay relay_;
   RealFleet fleet_;
-  FleetView view_{fleet_};
+  Workers workers_;
+  FleetView view_{fleet_, workers_};
   Asker asker_{fleet_.loop()};
-  Ledger ledger_;
+  Ledger ledger_{*plan_.form};
+  WorkerList list_{fleet_.loop()};
   OperatorShare share_;
   std::vector<Operator> operators_;
   std::optional<Troubles> troubles_;
   std::optional<Watch> watch_;
+  std::optional<Callers> callers_;
   std::string document_;
   std::size_t document_most_ = 0;
   std::string figures_;
--- a/test/tools/realfleet.hpp
+++ b/test/tools/realfleet.hpp
@@ -13,7 +13,11 @@
   std::string callers;
   std::string peers;
   std::string folder;
+  /// A second address for operators, where the process got one; it is none of RealFleet's own arguments.
+  std::string aside;
   int pid = 0;
+  /// It was told to leave by SIGTERM: its end is expected.
+  bool leaving = false;
 };
 
 /// What a fleet of real processes is like.
