A view of the fleet that waited doesn't replace the platform's newer list

Cause: a data node without a view for 0.6 bounds takes the platform's own list and sets the view's version to 0, so any later word of the same term was newer by version, also a whole view that had waited in the lane of large messages and was older than that list. Now what tells of an older list than the own one is neither taken nor asked for. Ruled out: the same comparison between two views of holders. Versions order those, and the moments include the time under way, so that a true newer one might be refused. Test: listing, red without the comparison, green with it.

--- a/src/core/forwarding/paths/watch.cpp
+++ b/src/core/forwarding/paths/watch.cpp
@@ -84,12 +84,7 @@
 void path_list(DataState& state, const Event& event, Moment now, Effects& effects) {
   auto& path = state.path;
   if (!list_pipe(path.list, state.options.limits, *state.options.dialect, state.numbers, event, now, effects)) return;
-  if (path.fleet.known && path.fleet.as_of >= path.list.asked) return;
-  // The keeper is silent: what the platform says itself counts, and the keeper's next word is asked for whole.
-  path.fleet.workers = path.list.workers;
-  path.fleet.as_of = path.list.asked;
-  path.fleet.known = true;
-  path.fleet.version = 0;
+  if (!fleet_take_list(path.fleet, path.list.workers, path.list.asked)) return;
   path_dispatch(state, now, effects);
 }
 
--- a/src/core/placement/view.cpp
+++ b/src/core/placement/view.cpp
@@ -157,6 +157,9 @@
   const std::pair here{known.term, known.version};
   const auto as_of = now - static_cast<Moment>(view.age_ms());
   if (known.known && told < here) return false;
+  // What waited under way may say less than the platform's own list that came meanwhile.
+  const bool own_list = known.known && known.version == 0;
+  if (own_list && as_of < known.as_of) return false;
   if (known.known && told == here) {
     advance(known, as_of);
     known.data_nodes = std::max<std::uint64_t>(1, view.data_nodes());
@@ -179,6 +182,15 @@
   return true;
 }
 
+bool fleet_take_list(FleetKnown& known, const std::vector<wire::WorkerEntry>& workers, Moment asked) {
+  if (known.known && known.as_of >= asked) return false;
+  known.workers = workers;
+  known.as_of = asked;
+  known.known = true;
+  known.version = 0;
+  return true;
+}
+
 void fleet_ask(FleetKnown& known, const MemberState& member, Moment now, Effects& effects) {
   if ((known.known && !known.behind) || now < known.next_ask) return;
   const auto* holder = duty_holder(member, placement_key);
--- a/src/core/placement/view.hpp
+++ b/src/core/placement/view.hpp
@@ -24,6 +24,7 @@
   Moment bound = 3000;
   bool known = false;
   std::uint64_t term = 0;
+  /// 0 where `workers` is the platform's own list, which this node asked for as the keeper was silent.
   std::uint64_t version = 0;
   /// Sorted by identity; what is left of the times counts from `as_of`.
   std::vector<wire::WorkerEntry> workers;
@@ -55,8 +56,11 @@
 void fleet_asked(FleetKeeper& keeper, const wire::Envelope& envelope, const MemberState& member, Moment now,
                  Effects& effects);
 
-/// Takes what the keeper told; true when workers or their models changed.
+/// Takes what the keeper told, unless a newer list is here; true when workers or their models changed.
 bool fleet_take(FleetKnown& known, const wire::FleetView& view, Moment now);
+/// Takes the platform's own list, sorted by identity and asked for at a moment, unless what is here is as new. The
+/// keeper's next word that is newer is asked for whole.
+bool fleet_take_list(FleetKnown& known, const std::vector<wire::WorkerEntry>& workers, Moment asked);
 /// Asks the keeper where this node has nothing or is behind.
 void fleet_ask(FleetKnown& known, const MemberState& member, Moment now, Effects& effects);
 
--- a/test/unit/listing.cpp
+++ b/test/unit/listing.cpp
@@ -172,6 +172,35 @@
   CHECK(pair.known.workers.size() == old.workers.size());
 }
 
+TEST_CASE("a view that waited doesn't replace a newer list that the node asked the platform for", "[placing]") {
+  Pair pair;
+  CHECK(pair.set({worker("a", false)}, 1000));
+  wire::FleetView waited;
+  waited.set_term(7);
+  waited.set_version(2);
+  *waited.add_workers() = worker("a", false);
+  REQUIRE(fleet_take_list(pair.known, {worker("b", false), worker("c", false)}, 5000));
+  waited.set_age_ms(4000);
+  CHECK_FALSE(fleet_take(pair.known, waited, 6000));
+  CHECK(pair.known.workers.size() == 2);
+  CHECK(pair.known.as_of == 5000);
+  // What is older than the list here isn't worth an ask.
+  wire::FleetView beat = waited;
+  beat.clear_workers();
+  beat.set_same(true);
+  CHECK_FALSE(fleet_take(pair.known, beat, 6100));
+  CHECK_FALSE(pair.known.behind);
+  beat.set_age_ms(1000);
+  CHECK_FALSE(fleet_take(pair.known, beat, 6100));
+  CHECK(pair.known.behind);
+  waited.set_age_ms(900);
+  CHECK(fleet_take(pair.known, waited, 6200));
+  CHECK(pair.known.workers.size() == 1);
+  CHECK_FALSE(pair.known.behind);
+  CHECK_FALSE(fleet_take_list(pair.known, {}, 5200));
+  CHECK(pair.known.workers.size() == 1);
+}
+
 TEST_CASE("a holder's failed ask is tried again soon, unless it was told to slow down", "[placing]") {
   ListAsker asker;
   asker.state.retry = asker.state.pace / 4;
