A data node's report that waited doesn't replace what it has told since

Cause: reports over 16 KiB go through the lane of large messages, small ones past it; the holder of the placement kept whichever came last. A report carries its number within the life of the node (a new field, which former releases ignore; without a number a report is taken as now). An older one counts for the ask of counters that it answers, and for nothing else. Ruled out: a topic in the lane. It would hold small reports up behind a large one, and a holder that hears nothing for a bound forgets what callers wait for. Test: reportorder, red without the comparison and the numbers, green with them.

--- a/src/core/forwarding/paths/report.cpp
+++ b/src/core/forwarding/paths/report.cpp
@@ -73,6 +73,7 @@
   auto envelope = member_envelope(state.member, node);
   auto* report = envelope.mutable_counter_report();
   report->set_round(round);
+  report->set_number(++state.reports_sent);
   report->set_placement_version(state.placement_version);
   for (const auto& [name, use] : state.path.units) {
     const bool told =
--- a/src/core/operations/report.cpp
+++ b/src/core/operations/report.cpp
@@ -60,6 +60,7 @@
   auto envelope = member_envelope(state.member, node);
   auto* report = envelope.mutable_counter_report();
   report->set_round(round);
+  report->set_number(++state.reports_sent);
   report->set_placement_version(state.placement_version);
   for (const auto& [name, pool] : state.pools)
     if (!name.starts_with("call:")) write_backlog(state, name, pool, now, *report->add_backlogs());
--- a/src/core/placement/demand.cpp
+++ b/src/core/placement/demand.cpp
@@ -46,6 +46,10 @@
 
 }  // namespace
 
+bool report_overtaken(const wire::CounterReport& report, std::uint64_t newest) {
+  return report.number() != 0 && report.number() <= newest;
+}
+
 void demand_ask(DemandState& state, const MemberState& member, Moment now, Effects& effects) {
   state.open = true;
   state.asked = now;
@@ -62,8 +66,9 @@
 
 void demand_receive(DemandState& state, const wire::Envelope& envelope, Moment now) {
   const auto& report = envelope.counter_report();
-  state.backlogs[envelope.from()] = {now, report};
-  if (state.open && report.round() == state.round) state.reports[envelope.from()] = report;
+  auto& backlogs = state.backlogs[envelope.from()];
+  if (!report_overtaken(report, backlogs.number)) backlogs = {now, report, std::max(backlogs.number, report.number())};
+  demand_take_counters(state, envelope);
 }
 
 void demand_take_counters(DemandState& state, const wire::Envelope& envelope) {
--- a/src/core/placement/demand.hpp
+++ b/src/core/placement/demand.hpp
@@ -4,10 +4,15 @@
 
 namespace weldsail {
 
+/// True where the data node's report with the given number is newer; one without a number is taken as now.
+bool report_overtaken(const wire::CounterReport& report, std::uint64_t newest);
+
 /// A report and when it came in.
 struct HeardReport {
   Moment heard = 0;
   wire::CounterReport report;
+  /// The highest number that a report of the same data node has had.
+  std::uint64_t number = 0;
 };
 
 /// Counters of the routing nodes as the duty holder collects them.
--- a/src/core/placement/wants.cpp
+++ b/src/core/placement/wants.cpp
@@ -98,6 +98,8 @@
 
 bool wants_take(WantsIndex& index, std::uint64_t node, const wire::CounterReport& report, Moment now) {
   auto& told = index.nodes[node];
+  if (report_overtaken(report, told.number)) return false;
+  told.number = std::max(told.number, report.number());
   told.heard = now;
   std::vector<const wire::Backlog*> sorted;
   for (const auto& backlog : report.backlogs()) sorted.push_back(&backlog);
--- a/src/core/placement/wants.hpp
+++ b/src/core/placement/wants.hpp
@@ -21,6 +21,8 @@
 /// A data node's last report.
 struct NodeWants {
   Moment heard = 0;
+  /// The node's own number of the newest report; 0 where it doesn't number them.
+  std::uint64_t number = 0;
   /// Sorted by unit.
   std::vector<NodeBacklog> backlogs;
 };
@@ -48,8 +50,8 @@
   std::uint64_t visited = 0;
 };
 
-/// Takes a data node's report in place of its former one; true when a unit has begun to wait or a new adapter is wished
-/// for.
+/// Takes a data node's report in place of its former one, unless it is an older one that waited under way; true when a
+/// unit has begun to wait or a new adapter is wished for.
 bool wants_take(WantsIndex& index, std::uint64_t node, const wire::CounterReport& report, Moment now);
 /// Forgets what nodes told that haven't reported within the bound.
 void wants_expire(WantsIndex& index, Moment now);
