A change's body that hasn't begun isn't sent once nobody waits for the answer

Cause: the lane kept an operator's body until it was sent, though the call had ended; with several on a slow path each retry waited behind bodies that nobody wanted any more. When the last one who waits is answered or has gone, a body that hasn't begun leaves the queue. One that has begun goes on, so that a retry joins it and something always gets through.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -211,6 +211,7 @@
     else
       operate_refuse(state.member, asker, 404, "no_such_path", "not_run", {}, effects);
   }
+  if (const auto* gone = std::get_if<RequestGone>(&event)) operate_gone(state.operate, gone->request);
   if (const auto* persisted = std::get_if<Persisted>(&event)) {
     acceptor_persisted(state.acceptor, state.member, *persisted, effects);
     vote_persisted(state.vote, state.member, *persisted, effects);
--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -207,6 +207,7 @@
   if (const auto* gone = std::get_if<RequestGone>(&event)) {
     carry_gone(state, gone->request, effects);
     path_gone(state, gone->request, now, effects);
+    operate_gone(state.operate, gone->request);
   }
   if (std::holds_alternative<Leaving>(event)) on_leave(state, now, effects);
   if (const auto* observed = std::get_if<TransportObserved>(&event)) state.transport = observed->figures;
--- a/src/core/operations/operate.cpp
+++ b/src/core/operations/operate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/bulk/withdraw.hpp"
 #include "core/configuration/config.hpp"
 #include "core/hash.hpp"
 #include "core/json.hpp"
@@ -180,7 +181,12 @@
   state.forwarded.erase(found);
 }
 
-void operate_tick(OperateState& state, const BulkState& bulk, const MemberState& member, Moment now, Effects& effects) {
+void operate_gone(OperateState& state, std::uint64_t request) {
+  for (auto& [identity, forwarded] : state.forwarded)
+    std::erase_if(forwarded.waiting, [&](const WaitingRequest& waiting) { return waiting.request == request; });
+}
+
+void operate_tick(OperateState& state, BulkState& bulk, const MemberState& member, Moment now, Effects& effects) {
   for (auto& [identity, forwarded] : state.forwarded) {
     const bool live = member_live(member, forwarded.node);
     const bool change = !forwarded.change.empty();
@@ -193,8 +199,8 @@
   }
   std::erase_if(state.forwarded, [&](const auto& item) {
     const auto node = item.second.node;
-    const bool under_way = member_live(member, node) && bulk_carries_operation(bulk, node, item.first);
-    return item.second.waiting.empty() && !under_way;
+    if (!item.second.waiting.empty()) return false;
+    return bulk_withdraw_operation(bulk, node, item.first) || !member_live(member, node);
   });
 }
 
--- a/src/core/operations/operate.hpp
+++ b/src/core/operations/operate.hpp
@@ -75,8 +75,11 @@
 void operate_forward(OperateState& state, const BulkState& bulk, const MemberState& member, wire::Operate operation,
                      const std::string& key, std::uint64_t request, Moment now, Effects& effects);
 void operate_answered(OperateState& state, const wire::Envelope& envelope, Effects& effects);
-/// Answers whose time is over. An operation is known for as long as its body is under way, though nobody waits.
-void operate_tick(OperateState& state, const BulkState& bulk, const MemberState& member, Moment now, Effects& effects);
+/// The operator who asked has gone: nothing is answered any more.
+void operate_gone(OperateState& state, std::uint64_t request);
+/// Answers whose time is over. A body that nobody waits for isn't sent, unless it is under way: such an operation is
+/// known until the body has arrived.
+void operate_tick(OperateState& state, BulkState& bulk, const MemberState& member, Moment now, Effects& effects);
 /// Answers what any node can by itself; false when the path is for an owner.
 bool operate_local(const MemberState& member, const wire::Operate& operation, const std::string& status_text,
                    const Asker& asker, Effects& effects);
--- a/test/unit/operateretry.cpp
+++ b/test/unit/operateretry.cpp
@@ -142,6 +142,37 @@
   CHECK(sends(7, "GET"));
 }
 
+TEST_CASE("a body that hasn't begun and that nobody waits for isn't sent", "[bulk]") {
+  Forwarder forwarder;
+  forwarder.ask(1, 'a');
+  forwarder.ask(2, 'b');
+  forwarder.ask(3, 'c');
+  SECTION("as its time is over") { forwarder.tick(operate_config_patience(bound) + 1); }
+  SECTION("as the operators have gone") {
+    for (const std::uint64_t request : {1, 2, 3}) operate_gone(forwarder.operate, request);
+    forwarder.tick(1);
+    CHECK(forwarder.answered.empty());
+  }
+  CHECK(forwarder.operate.forwarded.size() == 1);
+  // The first body has begun; its first piece may have been sent twice.
+  forwarder.deliver_body();
+  CHECK(forwarder.body_bytes < 2 * large);
+  CHECK(window_bytes(forwarder.window) == 0);
+}
+
+TEST_CASE("a body that one of two operators still waits for is sent", "[bulk]") {
+  Forwarder forwarder;
+  forwarder.ask(1, 'a');
+  forwarder.ask(2, 'b');
+  forwarder.ask(3, 'b');
+  operate_gone(forwarder.operate, 2);
+  forwarder.tick(1);
+  forwarder.deliver_body();
+  CHECK(forwarder.body_bytes > 2 * large);
+  forwarder.owner_answers(2);
+  CHECK(forwarder.answered == std::map<std::uint64_t, int>{{3, 200}});
+}
+
 TEST_CASE("an operation is forgotten once nobody waits and its body isn't under way", "[bulk]") {
   Forwarder forwarder;
   forwarder.ask(1, 'a');
