--- a/test/sim/simworkers.cpp
+++ b/test/sim/simworkers.cpp
@@ -160,6 +160,7 @@
   const auto found = worker.held.find(order.model);
   const bool there = found != worker.held.end() && (order.adapter.empty() || found->second.contains(order.adapter));
   if (there == order.load && !worker.order) return 200;
+  if (refuses && refuses(worker, order)) return 422;
   if (order.load && !there) {
     auto held = worker.held;
     if (worker.order && worker.order->load) held[worker.order->model].insert(worker.order->adapter);
--- a/test/sim/simworkers.hpp
+++ b/test/sim/simworkers.hpp
@@ -77,6 +77,8 @@
   std::size_t reports = 0;
   std::size_t lists = 0;
   bool list_down = false;
+  /// Orders that a worker refuses though it could take them.
+  std::function<bool(const StandInWorker& worker, const WorkerOrder& order)> refuses;
 
  private:
   void listen(std::size_t place);
