A source whose value never fits its hash rests before it is asked again

Cause: a whole value that wasn't what its hash says was fetched anew at once, without end. The source now rests for a tenth of the bound, doubled up to the bound, for that version; other sources and newer versions aren't held up. Counted as source_pauses_total. The choice of sources is a file of its own (fetchsources). The bench counts asks, and can tell a wrong hash for a source's parts; its checks are unchanged.

--- a/src/core/configuration/deliverystate.hpp
+++ b/src/core/configuration/deliverystate.hpp
@@ -22,6 +22,10 @@
   std::uint64_t version = 0;
   /// Asks since its last offer or part that it hasn't answered in time.
   std::uint64_t unanswered = 0;
+  /// Times in a row that this version, fetched whole from here, wasn't what its hash says, and the end of the pause
+  /// that follows the last time.
+  std::uint64_t unfit = 0;
+  Moment pause_until = 0;
 };
 
 /// A large value that is being fetched, part by part, with one ask under way at a time.
@@ -72,6 +76,8 @@
   std::uint64_t fetches_restarted = 0;
   /// Broken invariants (docs/design-delivery.md); must stay 0.
   std::uint64_t violations = 0;
+  /// Pauses of a source, as a value that it gave whole wasn't what its hash says.
+  std::uint64_t source_pauses = 0;
 };
 
 /// Delivery of values that are too large for one message.
@@ -79,6 +85,8 @@
   /// For each key, who has offered a version newer than the one here.
   std::map<std::string, std::map<std::uint64_t, ValueSource>> sources;
   std::map<std::string, Fetch> fetches;
+  /// What no fetch is under way for, as its sources pause, isn't begun sooner.
+  Moment resume_at = 0;
   std::map<std::string, LinkHistory> links;
   std::deque<ServedContent> served;
   /// Parts that are being sent, and pieces of large messages.
--- a/src/core/configuration/fetch.cpp
+++ b/src/core/configuration/fetch.cpp
@@ -1,14 +1,13 @@
 #include "core/configuration/fetch.hpp"
 
 #include <algorithm>
-#include <tuple>
 
 #include "core/configuration/chain.hpp"
+#include "core/configuration/fetchsources.hpp"
 #include "core/configuration/serve.hpp"
 #include "core/consensus/duty.hpp"
 #include "core/delta.hpp"
 #include "core/hash.hpp"
-#include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
 namespace {
@@ -16,7 +15,6 @@
 /// An answer may take this part of the bound at first, and twice as long after each that didn't come.
 constexpr Moment answers_per_bound = 10;
 constexpr Moment patience_doublings = 3;
-constexpr std::size_t sources_most = 8;
 
 Moment first_patience(const NewsState& state) { return state.bound / answers_per_bound; }
 Moment most_patience(const NewsState& state) { return first_patience(state) << patience_doublings; }
@@ -32,43 +30,12 @@
   effects.push_back(SendMessage{fetch.address, std::move(envelope)});
 }
 
-bool is_control(const MemberState& member, std::uint64_t node) {
-  const auto found = member.others.find(node);
-  return found != member.others.end() && found->second.entry.program() == static_cast<std::uint32_t>(Program::control);
-}
-
-/// Sources are preferred that answer, then those that live, then control processes, which keep links between versions,
-/// then the newest version; among equals each asker has its own order. So each has its turn in the end.
-auto source_rank(const MemberState& member, std::uint64_t node, const ValueSource& source) {
-  return std::tuple(~source.unanswered, member_live(member, node), is_control(member, node), source.version,
-                    mix(member.self.node() ^ node));
-}
-
-/// The best source; another than `avoided` where there is one.
-std::optional<std::uint64_t> pick_source(const NewsState& state, const MemberState& member, const std::string& key,
-                                         std::uint64_t avoided) {
-  const auto offers = state.delivery.sources.find(key);
-  if (offers == state.delivery.sources.end() || offers->second.empty()) return std::nullopt;
-  const auto rank = [&](const auto& item) {
-    return std::pair(item.first != avoided, source_rank(member, item.first, item.second));
-  };
-  return std::ranges::max_element(offers->second, {}, rank)->first;
-}
-
-/// Keeps an offer, in place of the worst one where there are many.
-void keep_source(std::map<std::uint64_t, ValueSource>& sources, const MemberState& member, std::uint64_t node,
-                 ValueSource source) {
-  const auto rank = [&](const auto& item) { return source_rank(member, item.first, item.second); };
-  if (sources.size() >= sources_most && !sources.contains(node))
-    sources.erase(std::ranges::min_element(sources, {}, rank));
-  sources[node] = std::move(source);
-}
-
 void begin(NewsState& state, const MemberState& member, const std::string& key, std::uint64_t base_version,
            std::uint64_t avoided, Moment now, Effects& effects) {
-  const auto source = pick_source(state, member, key, avoided);
+  const auto source = fetch_pick_source(state, member, key, avoided, now);
   if (!source) {
     state.delivery.fetches.erase(key);
+    state.delivery.resume_at = now + first_patience(state);
     return;
   }
   auto& fetch = state.delivery.fetches[key];
@@ -147,7 +114,8 @@
   if (offer.version() <= own) return;
   auto& delivery = state.delivery;
   fetch_missing(state, offer, now);
-  keep_source(delivery.sources[offer.key()], member, envelope.from(), {envelope.address(), offer.version()});
+  fetch_keep_source(delivery.sources[offer.key()], member, envelope.from(),
+                    {envelope.address(), offer.version(), 0, 0, 0});
   if (!delivery.fetches.contains(offer.key())) begin(state, member, offer.key(), own, 0, now, effects);
 }
 
@@ -187,8 +155,10 @@
   auto value = read_content(state, part.key(), fetch);
   if (!value) {
     // A chain that doesn't begin here, as another version has come meanwhile: the value itself always fits.
-    if (fetch.base_version == 0)
+    if (fetch.base_version == 0) {
       delivery_violated(delivery, "a whole value is what its hash says", part.key(), fetch.version, effects);
+      fetch_pause_source(state, part.key(), envelope.from(), now);
+    }
     begin_anew(state, member, part.key(), 0, now, effects);
     return std::nullopt;
   }
@@ -209,7 +179,19 @@
   if (delivery.sources[key].empty()) delivery.sources.erase(key);
 }
 
+namespace {
+
+/// Begins what no fetch is under way for, as all sources paused.
+void begin_after_pauses(NewsState& state, const MemberState& member, Moment now, Effects& effects) {
+  if (now < state.delivery.resume_at) return;
+  for (const auto& [key, sources] : state.delivery.sources)
+    if (!state.delivery.fetches.contains(key)) begin(state, member, key, news_version(state, key), 0, now, effects);
+}
+
+}  // namespace
+
 void fetch_tick(NewsState& state, const MemberState& member, Moment now, Effects& effects) {
+  begin_after_pauses(state, member, now, effects);
   std::vector<std::string> late;
   for (const auto& [key, fetch] : state.delivery.fetches)
     if (now - fetch.asked >= fetch.patience) late.push_back(key);
@@ -217,7 +199,7 @@
     auto& fetch = state.delivery.fetches[key];
     auto& sources = state.delivery.sources[key];
     if (const auto silent = sources.find(fetch.source); silent != sources.end()) ++silent->second.unanswered;
-    const auto source = pick_source(state, member, key, fetch.source);
+    const auto source = fetch_pick_source(state, member, key, fetch.source, now);
     if (!source) {
       state.delivery.fetches.erase(key);
       continue;
--- a/src/core/operations/commonmetrics.cpp
+++ b/src/core/operations/commonmetrics.cpp
@@ -65,6 +65,8 @@
   text.counter("fetches_restarted_total", "Fetches that began anew.").sample(counters.fetches_restarted);
   text.counter("parts_repeated_total", "Parts that were asked for again, as no answer came in time.");
   text.sample(counters.parts_repeated);
+  text.counter("source_pauses_total", "Pauses of a source, as a value that it gave wasn't what its hash says.");
+  text.sample(counters.source_pauses);
   text.counter("invariant_violations_total", "Broken invariants of delivery; must stay 0.").sample(counters.violations);
 }
 
--- a/test/unit/fetchbench.hpp
+++ b/test/unit/fetchbench.hpp
@@ -23,6 +23,7 @@
   std::uint64_t told = 0;
   std::uint64_t had = 0;
   Moment last_ask = 0;
+  std::uint64_t asks = 0;
   std::uint64_t values_taken = 0;
 };
 
@@ -124,6 +125,8 @@
   double doubled = 0;
   double tampered = 0;
   Moment delay_most = 20;
+  /// Addresses whose parts tell a hash that their value doesn't have.
+  std::set<std::string> wrong_hashes;
   std::map<std::string, FetchProcess> processes;
   std::vector<std::string> committed;
   /// Bytes of values inside News that were sent to each address.
@@ -196,6 +199,7 @@
     for (const auto& effect : effects)
       if (const auto* message = std::get_if<SendMessage>(&effect); message && message->envelope.has_value_ask()) ++asks;
     if (asks == 0) return;
+    process.asks += asks;
     CAPTURE(address, now, ticked);
     CHECK(asks == 1);
     if (ticked) CHECK(now - process.last_ask >= bound / 10);
@@ -222,6 +226,8 @@
       for (int copy = 0; copy < (chance.happens(doubled) ? 2 : 1); ++copy) {
         if (chance.happens(loss)) continue;
         auto envelope = message->envelope;
+        if (envelope.has_value_part() && wrong_hashes.contains(envelope.address()))
+          envelope.mutable_value_part()->set_value_hash("another");
         if (envelope.has_value_part() && chance.happens(tampered)) tamper(*envelope.mutable_value_part());
         messages.push({now + chance.between(1, delay_most), order++, message->address, std::move(envelope)});
       }
--- a/test/unit/metrics.cpp
+++ b/test/unit/metrics.cpp
@@ -79,7 +79,7 @@
   }
   news.delivery.fetches[config_key].size = 40000;
   news.delivery.fetches[config_key].received = std::string(16384, 'x');
-  news.delivery.counters = {1, 2, 3, 4, 5, 6};
+  news.delivery.counters = {1, 2, 3, 4, 5, 6, 7};
 }
 
 void check_behind(const MetricsReader& figures, double seconds) {
@@ -95,6 +95,7 @@
   CHECK(figures.at("weldsail_parts_repeated_total") == 4);
   CHECK(figures.at("weldsail_fetches_restarted_total") == 5);
   CHECK(figures.at("weldsail_invariant_violations_total") == 6);
+  CHECK(figures.at("weldsail_source_pauses_total") == 7);
 }
 
 }  // namespace
