--- a/src/core/bulk/bulk.cpp
+++ b/src/core/bulk/bulk.cpp
@@ -93,10 +93,6 @@
     note(effects, "invariant.violated", {{"invariant", "bytes under way never exceed the window"}}, true);
 }
 
-bool bulk_carries_operation(const BulkState& state, std::uint64_t node, std::uint64_t request) {
-  return lane_holds(state.lane, node, operate_topic(request));
-}
-
 bool bulk_has_unsent_operation(const BulkState& state, std::uint64_t node, std::uint64_t request) {
   return lane_has_unsent(state.lane, node, operate_topic(request));
 }
--- a/src/core/bulk/lane.cpp
+++ b/src/core/bulk/lane.cpp
@@ -132,6 +132,15 @@
   count(state, node, peer);
 }
 
+void lane_withdraw(LaneState& state, std::uint64_t node, const std::string& topic) {
+  const auto found = state.peers.find(node);
+  if (found == state.peers.end()) return;
+  state.counters.visits += found->second.queue.size();
+  uncount(state, node, found->second);
+  peer_withdraw(found->second, topic);
+  count(state, node, found->second);
+}
+
 bool lane_holds(const LaneState& state, std::uint64_t node, const std::string& topic) {
   const auto found = state.peers.find(node);
   if (found == state.peers.end() || topic.empty()) return false;
--- a/src/core/bulk/lane.hpp
+++ b/src/core/bulk/lane.hpp
@@ -62,6 +62,8 @@
 void lane_put(LaneState& state, std::uint64_t node, const std::string& address, BulkMessage message);
 /// Drops messages to a peer that one under a higher epoch makes needless, also the one that is under way.
 void lane_abandon(LaneState& state, SendWindow& window, std::uint64_t node, const MessageTopic& newer);
+/// Drops messages of the topic to a peer that haven't begun.
+void lane_withdraw(LaneState& state, std::uint64_t node, const std::string& topic);
 /// True while a message of the topic waits for the peer or is under way to it.
 bool lane_holds(const LaneState& state, std::uint64_t node, const std::string& topic);
 /// True while bytes of a message of the topic haven't been sent to the peer yet.
--- a/src/core/bulk/queue.cpp
+++ b/src/core/bulk/queue.cpp
@@ -72,6 +72,14 @@
   });
 }
 
+void peer_withdraw(BulkPeer& peer, const std::string& topic) {
+  std::erase_if(peer.queue, [&](const BulkMessage& message) {
+    if (message.number != 0 || message.topic.name != topic) return false;
+    uncount(peer, message);
+    return true;
+  });
+}
+
 void peer_put(BulkPeer& peer, BulkMessage message) {
   const bool urgent = message.priority == BulkPriority::urgent;
   const bool behind_ordinary = has_begun(peer) && peer.queue.front().priority == BulkPriority::ordinary;
--- a/src/core/bulk/queue.hpp
+++ b/src/core/bulk/queue.hpp
@@ -54,6 +54,8 @@
 std::size_t peer_supersede(BulkPeer& peer, const BulkMessage& newer);
 /// Drops messages of the topic under lower epochs, also the one that is under way; tells how many.
 std::size_t peer_abandon(BulkPeer& peer, const MessageTopic& topic);
+/// Drops messages of the topic that haven't begun.
+void peer_withdraw(BulkPeer& peer, const std::string& topic);
 /// Adds a message behind those of its priority.
 void peer_put(BulkPeer& peer, BulkMessage message);
 /// The place of the message of which a piece is sent next: an ordinary one has its turn after a few urgent ones.
