Revert "A planned load that can't be begun leaves the plan and the store's allowance"

Its review by a reader who hadn't written it: a block by room takes the worker out for every model, also those that fit, and grows up to 24 s in small fleets; blocks aren't lifted when their cause ends; any other order at the worker resets the measure, so that the fault stays there; two failures up to three bounds apart count as a bound of them; a load under way can be dropped from the plan; and what a refused load gives back may exceed the store's ceiling beside doubtful orders. Some models would wait longer after a recovery than without it.

--- a/src/core/placement/book.cpp
+++ b/src/core/placement/book.cpp
@@ -24,7 +24,6 @@
     book.held[model.name()] = {model.adapters().begin(), model.adapters().end()};
     book.revisions[model.name()] = model.revision();
     book.had.insert(model.name());
-    book.refused_loads.erase(model.name());
   }
 }
 
--- a/src/core/placement/book.hpp
+++ b/src/core/placement/book.hpp
@@ -22,17 +22,6 @@
   std::optional<Moment> clear_since;
 };
 
-/// Loads that were wanted at a worker and couldn't be begun there.
-struct LoadBlock {
-  /// The first failure in a row that nothing has changed since, and the last.
-  std::optional<Moment> since;
-  Moment last = 0;
-  /// The worker isn't a place for them sooner.
-  Moment until = 0;
-  /// Blocks in a row.
-  std::size_t times = 0;
-};
-
 /// What the holder knows of one life of a worker.
 struct WorkerBook {
   wire::WorkerEntry entry;
@@ -43,10 +32,6 @@
   std::map<std::string, Moment> hidden;
   /// Models that this life has held: its own disk has them.
   std::set<std::string> had;
-  /// Loads that the worker refused or that came to nothing, by model.
-  std::map<std::string, LoadBlock> refused_loads;
-  /// Loads for which what the worker holds left no room, whatever the model.
-  LoadBlock roomless;
   /// Orders that the worker has taken in all; none until a report tells.
   std::optional<std::uint64_t> orders_taken;
   std::optional<SentOrder> order;
--- a/src/core/placement/command.cpp
+++ b/src/core/placement/command.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "core/placement/loadblock.hpp"
-
 namespace weldsail {
 namespace {
 
@@ -125,10 +123,7 @@
   const bool from_store = order.load && order.adapter.empty() && !book.had.contains(order.model);
   // Most candidates wait for the store: they are told apart before anything else is worked out.
   if (from_store && state.store.filled == context.now && state.store.ready < 1) return false;
-  if (!book_fits(book, order, service->second)) {
-    if (order.load && order.adapter.empty()) load_block_failed(book.roomless, context.limits.contact, context.now);
-    return false;
-  }
+  if (!book_fits(book, order, service->second)) return false;
   if (from_store && !store_allows(state.store, context.limits, doubtful_loads(state), context.now)) return false;
   if (!book.orders_taken) {
     ask_report(state, book, context, effects);
@@ -138,7 +133,6 @@
   order.fence = state.fence;
   order.taken = book.orders_taken;
   if (from_store) store_take(state.store);
-  if (order.load) book.roomless.since.reset();
   ++state.sent;
   book.order = SentOrder{order, context.now, false, from_store, false, {}};
   state.watched.insert(book.entry.identity());
--- a/src/core/placement/commandanswer.cpp
+++ b/src/core/placement/commandanswer.cpp
@@ -1,7 +1,5 @@
 #include "core/placement/commandanswer.hpp"
 
-#include "core/placement/loadblock.hpp"
-
 #include <algorithm>
 
 namespace weldsail {
@@ -32,12 +30,6 @@
   book.orders_taken.reset();
 }
 
-/// A model's load was refused or has come to nothing.
-void note_failed_load(WorkerBook& book, const WorkerOrder& order, const CommandContext& context) {
-  if (!order.load || !order.adapter.empty()) return;
-  load_block_failed(book.refused_loads[order.model], context.limits.contact, context.now);
-}
-
 std::string unit_of(const WorkerBook& book) { return unit_name(book.entry.service(), book.order->order.model); }
 
 void settle_order(CommandState& state, WorkerBook& book, const WorkerReport& report, const CommandContext& context,
@@ -60,8 +52,6 @@
   const bool done = book_holds(book, order.model, order.adapter) == order.load;
   if (!done && !order.load && order.adapter.empty()) state.aborted.push_back(unit);
   if (!done) book.next_word = context.now + context.limits.contact / reports_due_part;
-  if (done) book.roomless.since.reset();
-  if (!done) note_failed_load(book, order, context);
   if (!done) note(effects, "order.came_to_nothing", {{"worker", book.entry.identity()}, {"model", order.model}});
 }
 
@@ -92,11 +82,6 @@
   if (!soon && !sent.order.load && sent.order.adapter.empty()) state.aborted.push_back(unit_of(book));
   note(effects, "order.refused",
        {{"worker", book.entry.identity()}, {"model", sent.order.model}, {"status", std::to_string(book.answer)}});
-  if (!soon) {
-    // The load hasn't begun: its part of the store is free for another one.
-    if (sent.from_store) store_give_back(state.store, context.limits);
-    if (answer == OrderAnswer::refused) note_failed_load(book, sent.order, context);
-  }
   forget_order(book);
   book.next_word = context.now + (soon ? report_lateness(context.limits) : context.limits.contact / reports_due_part);
 }
--- a/src/core/placement/fit.cpp
+++ b/src/core/placement/fit.cpp
@@ -3,7 +3,6 @@
 #include <ranges>
 
 #include "core/placement/crowd.hpp"
-#include "core/placement/loadblock.hpp"
 #include "core/placement/places.hpp"
 #include "core/placement/roomahead.hpp"
 
@@ -142,23 +141,6 @@
     if (book_stuck(input, input.books.at(identity))) drop(plan, identity, unit);
 }
 
-/// Takes loads that couldn't be begun out of the plan: others have their part of the store, and they a place elsewhere.
-void leave_blocked_places(HolderPlan& plan, const PlanInput& input) {
-  std::vector<std::pair<std::string, std::string>> blocked;
-  const auto visit = [&](const std::string& identity) {
-    const auto worker = plan.workers.find(identity);
-    if (worker == plan.workers.end()) return;
-    const auto& book = input.books.at(identity);
-    for (const auto& model : worker->second.models)
-      if (!book_holds(book, model) && load_blocked(book, model, input.now)) blocked.emplace_back(identity, model);
-  };
-  if (input.open_work != nullptr)
-    std::ranges::for_each(*input.open_work, visit);
-  else
-    for (const auto& [identity, worker] : plan.workers) visit(identity);
-  for (const auto& [identity, model] : blocked) plan_leave(plan, identity, model);
-}
-
 /// Gives one unit that nobody holds a place that nothing has to leave, the most lately used first.
 void fill_free_room(HolderPlan& plan, const PlanInput& input, PlaceSearch& search, Effects& effects) {
   std::map<std::string, std::int64_t> free;
@@ -198,7 +180,6 @@
 }  // namespace
 
 void plan_models(HolderPlan& plan, const PlanInput& input, Effects& effects) {
-  leave_blocked_places(plan, input);
   for (const auto& unit : units_to_fit(plan, input)) {
     if (input.work != nullptr) ++input.work->units;
     const bool waits = plan_wants(input, unit).demand.waiting > 0;
--- a/src/core/placement/places.cpp
+++ b/src/core/placement/places.cpp
@@ -4,7 +4,6 @@
 #include <limits>
 
 #include "core/placement/crowd.hpp"
-#include "core/placement/loadblock.hpp"
 
 namespace weldsail {
 namespace {
@@ -171,7 +170,6 @@
     const bool evict = give_way == GiveWay::anywhere || (give_way == GiveWay::for_disk && from_disk);
     if (!evict && site.planned_weights + weights > service.room_mb) continue;
     if (site.planned->models.contains(model)) continue;
-    if (!book_holds(*site.book, model) && load_blocked(*site.book, model, input_.now)) continue;
     const auto victims = victims_at(site, service, weights, taker);
     if (!victims) continue;
     double cost = 0;
--- a/src/core/placement/store.cpp
+++ b/src/core/placement/store.cpp
@@ -42,8 +42,4 @@
 
 void store_take(StoreShare& share) { share.ready -= 1; }
 
-void store_give_back(StoreShare& share, const Limits& limits) {
-  share.ready = std::min(burst(share, limits), share.ready + 1);
-}
-
 }  // namespace weldsail
--- a/src/core/placement/store.hpp
+++ b/src/core/placement/store.hpp
@@ -19,7 +19,5 @@
 bool store_allows(StoreShare& share, const Limits& limits, std::size_t doubtful, Moment now);
 /// A load was ordered, or one in doubt turned out to have begun at some moment up to now.
 void store_take(StoreShare& share);
-/// An ordered load was refused before it began.
-void store_give_back(StoreShare& share, const Limits& limits);
 
 }  // namespace weldsail
