Revert "A data node without a cluster doesn't take one from strangers"

Its review: a data node that starts without a folder while its contacts are dead, replaced or cut off from it alone stays out of the fleet, though others still know its address and would bring it in; before, the first ping did. Serving again goes before a guard against a foreign cluster that nobody has seen. The fault (any cluster's news is believed) stays open in the roadmap; the next try has to let a node in whose contacts are silent.

--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -64,18 +64,9 @@
   watch_set(state.watch, services, effects);
 }
 
-/// True for a message of another cluster, or of one of which it isn't known whether it is the own one: whoever writes
-/// to this address without knowing this life may mean a process that was here before. A node without a cluster learns
-/// it from the contacts in its settings, and they know its life as it wrote to them first.
-bool foreign(const MemberState& member, const wire::Envelope& envelope) {
-  if (envelope.cluster() == 0) return false;
-  const auto own = member.self.cluster();
-  if (own != 0) return own != envelope.cluster();
-  return envelope.to() == 0 && !member.options.seeds.empty();
-}
-
 void on_message(DataState& state, const wire::Envelope& envelope, Moment now, Effects& effects) {
-  if (foreign(state.member, envelope)) return;
+  const auto own = state.member.self.cluster();
+  if (own != 0 && envelope.cluster() != 0 && own != envelope.cluster()) return;
   if (envelope.to() != 0 && envelope.to() != state.member.self.node()) return;
   if (const auto whole = bulk_receive(state.bulk, state.news.delivery.window, state.member, envelope, now, effects))
     return on_message(state, *whole, now, effects);
