Lane: ordinary messages leave room for urgent ones, and late or abandoned ones do no harm

Three tests, red before (8 checks). The bounds' own tests put urgent messages now, for which 8 and 64 MiB hold exactly as before; a new one holds three quarters for ordinary ones.

--- a/src/core/bulk/lane.cpp
+++ b/src/core/bulk/lane.cpp
@@ -15,6 +15,8 @@
 /// Bytes that may wait for one peer, and for all. A message that is alone may be as large as a frame.
 constexpr std::size_t peer_most = 8U << 20U;
 constexpr std::size_t lane_most = 64U << 20U;
+/// Ordinary messages leave a quarter of both to urgent ones.
+constexpr std::size_t urgent_reserve_parts = 4;
 
 Moment first_patience(const LaneState& state) { return std::max<Moment>(1, state.bound / acknowledgements_per_bound); }
 
@@ -47,13 +49,18 @@
     peers.ready.insert(node);
 }
 
+/// What messages of a priority may have of a bound.
+std::size_t room_for(BulkPriority priority, std::size_t most) {
+  return priority == BulkPriority::urgent ? most : most - most / urgent_reserve_parts;
+}
+
 /// True where the lane has room for a message to a peer that isn't counted at the moment, in place of those that it
 /// makes needless; what is alone always has.
 bool fits(const LaneState& state, const BulkPeer& peer, const BulkMessage& message) {
   const auto others = peer.bytes - peer_needless_bytes(peer, message);
   const auto total = state.bytes + others;
-  if (total > 0 && total + message.bytes.size() > lane_most) return false;
-  return others == 0 || others + message.bytes.size() <= peer_most;
+  if (total > 0 && total + message.bytes.size() > room_for(message.priority, lane_most)) return false;
+  return others == 0 || others + message.bytes.size() <= room_for(message.priority, peer_most);
 }
 
 void release_piece(SendWindow& window, std::uint64_t node) {
--- a/src/core/bulk/queue.cpp
+++ b/src/core/bulk/queue.cpp
@@ -21,10 +21,10 @@
 /// True while the first message is under way.
 bool has_begun(const BulkPeer& peer) { return !peer.queue.empty() && peer.queue.front().number != 0; }
 
-/// True for a message that the newer one makes needless.
+/// True for a message that the newer one makes needless; a late one under a lower epoch makes none so.
 bool is_needless(const BulkMessage& message, const BulkMessage& newer) {
   if (newer.topic.name.empty() || !newer.topic.supersedes) return false;
-  return message.number == 0 && message.topic.name == newer.topic.name;
+  return message.number == 0 && message.topic.name == newer.topic.name && message.topic.epoch <= newer.topic.epoch;
 }
 
 }  // namespace
@@ -64,7 +64,11 @@
   const auto needless = [&](const BulkMessage& message) {
     return message.topic.name == topic.name && message.topic.epoch < topic.epoch;
   };
-  if (has_begun(peer) && needless(peer.queue.front())) reset_progress(peer);
+  if (has_begun(peer) && needless(peer.queue.front())) {
+    // It has had its turn, or one abandoned after another would keep ordinary messages from theirs.
+    ++peer.urgent_in_a_row;
+    reset_progress(peer);
+  }
   return std::erase_if(peer.queue, [&](const BulkMessage& message) {
     if (!needless(message)) return false;
     uncount(peer, message);
--- a/test/unit/bulkbounds.cpp
+++ b/test/unit/bulkbounds.cpp
@@ -37,6 +37,7 @@
 
 BulkMessage message_of(std::size_t size, std::uint64_t number) {
   BulkMessage message;
+  message.priority = BulkPriority::urgent;
   message.bytes = std::string(size, 'x');
   message.bytes.replace(0, sizeof number, reinterpret_cast<const char*>(&number), sizeof number);
   return message;
@@ -74,6 +75,27 @@
   CHECK(lane_messages(alone) == 1);
 }
 
+TEST_CASE("ordinary messages leave a quarter of the lane's bounds to urgent ones", "[bulk]") {
+  const auto put_ordinary = [](LaneState& lane, std::uint64_t node, std::size_t size, char letter) {
+    BulkMessage message;
+    message.bytes = std::string(size, letter);
+    lane_put(lane, node, "p", std::move(message));
+  };
+  LaneState lane;
+  for (std::uint64_t node = 1; node <= 8; ++node) {
+    put_ordinary(lane, node, peer_most / 2, 'a');
+    put_ordinary(lane, node, peer_most / 4, 'b');
+    put_ordinary(lane, node, 100, 'c');
+  }
+  CHECK(lane_bytes(lane) == lane_most / 4 * 3);
+  CHECK(lane.counters.given_up == 8);
+  put_ordinary(lane, 9, 100, 'd');
+  CHECK(lane.counters.given_up == 9);
+  for (std::uint64_t node = 1; node <= 8; ++node) put(lane, node, peer_most / 4);
+  CHECK(lane_bytes(lane) == lane_most);
+  CHECK(lane.counters.given_up == 9);
+}
+
 TEST_CASE("the lane's bounds are those of a plain model under random puts, acknowledgements and ends", "[bulk]") {
   std::size_t refused_by_peer = 0;
   std::size_t refused_by_sum = 0;
--- a/test/unit/bulkepoch.cpp
+++ b/test/unit/bulkepoch.cpp
@@ -84,3 +84,43 @@
   CHECK(taken(bench) == 2);
   CHECK(bench.resting());
 }
+
+namespace {
+
+BulkMessage promise_of(std::uint64_t epoch) {
+  BulkMessage message;
+  message.topic = {"promise config", true, epoch};
+  message.priority = BulkPriority::urgent;
+  message.bytes = std::string(large, static_cast<char>('a' + epoch));
+  return message;
+}
+
+}  // namespace
+
+TEST_CASE("a late promise of a lower epoch leaves one of a higher epoch that waits", "[bulk]") {
+  LaneState lane;
+  lane_put(lane, 1, "p", promise_of(2));
+  lane_put(lane, 1, "p", promise_of(1));
+  CHECK(lane.counters.superseded == 0);
+  REQUIRE(lane.peers.at(1).queue.size() == 2);
+  CHECK(lane.peers.at(1).queue.front().topic.epoch == 2);
+}
+
+TEST_CASE("urgent messages that are abandoned one after another leave ordinary ones their turn", "[bulk]") {
+  LaneState lane;
+  SendWindow window;
+  lane_put(lane, 1, "p", promise_of(1));
+  lane_send(lane, window, 1000);
+  BulkMessage ordinary;
+  ordinary.bytes = std::string(large, 'o');
+  lane_put(lane, 1, "p", std::move(ordinary));
+  std::size_t rounds = 0;
+  for (std::uint64_t epoch = 2; epoch < 12; ++epoch) {
+    lane_abandon(lane, window, 1, {"promise config", true, epoch});
+    lane_put(lane, 1, "p", promise_of(epoch));
+    const auto pieces = lane_send(lane, window, 1000);
+    if (!pieces.empty() && pieces.front().piece.bytes().front() == 'o') break;
+    ++rounds;
+  }
+  CHECK(rounds < urgent_in_a_row_most);
+}
