--- a/test/unit/bulkpriority.cpp
+++ b/test/unit/bulkpriority.cpp
@@ -60,14 +60,19 @@
   return bench;
 }
 
+/// A view to each of the first peers.
+void send_views(BulkBench& bench, int peers) {
+  for (int place = 0; place < peers; ++place) {
+    const auto address = "p" + std::to_string(place);
+    bench.send("a", address, view_to(bench, address));
+  }
+}
+
 }  // namespace
 
 TEST_CASE("an accept doesn't wait for views of the fleet to 200 data nodes", "[bulk]") {
   auto bench = bench_of(201);
-  for (int place = 0; place < 200; ++place) {
-    const auto address = "p" + std::to_string(place);
-    bench.send("a", address, view_to(bench, address));
-  }
+  send_views(bench, 200);
   bench.send("a", "p200", accept_to(bench, "p200", 1));
   run_until_taken(bench, "p200", wire::Envelope::kAccept);
   const auto before = sent_bytes(bench) - bench.piece_bytes["p200"];
@@ -79,10 +84,7 @@
 
 TEST_CASE("an accept to a peer goes before all views to it but the one that has begun", "[bulk]") {
   auto bench = bench_of(200);
-  for (int place = 0; place < 200; ++place) {
-    const auto address = "p" + std::to_string(place);
-    bench.send("a", address, view_to(bench, address));
-  }
+  send_views(bench, 200);
   for (int count = 0; count < 3; ++count) bench.send("a", "p0", view_size);
   bench.send("a", "p0", accept_to(bench, "p0", 1));
   run_until_taken(bench, "p0", wire::Envelope::kAccept);
@@ -95,11 +97,8 @@
 
 TEST_CASE("peers that answer nothing leave room for an accept", "[bulk]") {
   auto bench = bench_of(101);
-  for (int place = 0; place < 100; ++place) {
-    const auto address = "p" + std::to_string(place);
-    bench.processes.at(address).alive = false;
-    bench.send("a", address, view_to(bench, address));
-  }
+  for (int place = 0; place < 100; ++place) bench.processes.at("p" + std::to_string(place)).alive = false;
+  send_views(bench, 100);
   bench.send("a", "p100", accept_to(bench, "p100", 1));
   run_until_taken(bench, "p100", wire::Envelope::kAccept);
   const auto before = sent_bytes(bench) - bench.piece_bytes["p100"];
--- a/test/unit/delta.cpp
+++ b/test/unit/delta.cpp
@@ -95,6 +95,20 @@
   return delta;
 }
 
+/// Some content, what two changes make of it, and the delta from one to the other.
+struct ChangedContent {
+  std::string base;
+  std::string target;
+  wire::Delta delta;
+};
+
+ChangedContent changed_twice(sim::Chance& chance) {
+  auto base = any_content(chance);
+  auto target = changed(changed(base, chance), chance);
+  auto delta = make_delta(base, target);
+  return {std::move(base), std::move(target), std::move(delta)};
+}
+
 }  // namespace
 
 TEST_CASE("a delta makes its target from its base, whatever both hold", "[delta]") {
@@ -155,9 +169,7 @@
   std::size_t refused = 0;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     sim::Chance chance(seed);
-    const auto base = any_content(chance);
-    const auto target = changed(changed(base, chance), chance);
-    const auto delta = make_delta(base, target);
+    const auto [base, target, delta] = changed_twice(chance);
     for (int turn = 0; turn < 8; ++turn) {
       auto other = chance.happens(0.3) ? any_content(chance) : changed(base, chance);
       if (chance.happens(0.2)) other.resize(other.size() / 2);
@@ -175,9 +187,7 @@
   std::size_t refused = 0;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     sim::Chance chance(seed);
-    const auto base = any_content(chance);
-    const auto target = changed(changed(base, chance), chance);
-    const auto delta = make_delta(base, target);
+    const auto [base, target, delta] = changed_twice(chance);
     for (int turn = 0; turn < 16; ++turn) {
       const auto made = apply_exactly(base, tampered(delta, chance));
       CAPTURE(seed, turn, base.size());
