Placing: counts follow adapters in line and the observed time of their swaps

Now: as many holders as give each adapter in use or in line a place, or fewer where the line passes through the places within the bound, by the observed time of an adapter's orders (a tenth of the bound a swap until one was seen) and the quarter of the bound that an adapter in use keeps its place.

--- a/src/core/placement/command.cpp
+++ b/src/core/placement/command.cpp
@@ -1,6 +1,7 @@
 #include "core/placement/commandanswer.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace weldsail {
 namespace {
@@ -10,6 +11,8 @@
 constexpr Moment reports_due_part = 6;
 constexpr Moment probes_pace_part = 3;
 constexpr Moment adapter_time_part = 50;
+/// Weight of the newest adapter order in the mean time of such orders.
+constexpr double adapter_time_weight = 0.1;
 /// Bytes of the longest report that is read.
 constexpr std::size_t report_bytes_most = 1U << 20U;
 
@@ -71,6 +74,7 @@
   if (!quick && context.now >= book.next_word) ask_report(state, book, context, effects);
   if (!quick || context.now < sent.sent + context.limits.contact / adapter_time_part) return false;
   const auto order = sent.order;
+  command_time_adapter(state, sent, context.now);
   book.held[order.model].insert(order.adapter);
   book.orders_taken = order.taken ? std::optional(*order.taken + 1) : std::nullopt;
   book.lists_from = context.now + 2 * context.limits.list_delay;
@@ -105,6 +109,17 @@
   return change;
 }
 
+void command_time_adapter(CommandState& state, const SentOrder& sent, Moment now) {
+  const auto taken = static_cast<double>(now - sent.sent);
+  if (state.adapter_order_ms == 0) state.adapter_order_ms = taken;
+  state.adapter_order_ms += (taken - state.adapter_order_ms) * adapter_time_weight;
+}
+
+Moment command_adapter_swap(const CommandState& state) {
+  constexpr double orders_per_swap = 2;
+  return static_cast<Moment>(std::ceil(orders_per_swap * state.adapter_order_ms));
+}
+
 bool command_free(const WorkerBook& book, Moment now) {
   return book.pipe == 0 && !book.order && now >= book.next_word && !book.entry.draining();
 }
--- a/src/core/placement/command.hpp
+++ b/src/core/placement/command.hpp
@@ -19,6 +19,8 @@
   std::vector<std::string> aborted;
   /// Units of which a worker refused a load: no other worker is asked for a while.
   Refusals refused_units;
+  /// Time from the sending of an adapter's order to its end, a moving mean; 0 until one has ended.
+  double adapter_order_ms = 0;
   std::uint64_t sent = 0;
   std::uint64_t reports = 0;
   /// Answers to asks for reports that were longer than what is read of one.
@@ -41,6 +43,10 @@
 /// Takes a whole list.
 ListChange command_list(CommandState& state, const std::vector<wire::WorkerEntry>& workers, Moment asked,
                         Effects& effects);
+/// Takes the time of an adapter's order that has been done.
+void command_time_adapter(CommandState& state, const SentOrder& sent, Moment now);
+/// Time in which a worker unloads one adapter and loads another, as observed; 0 until it was.
+Moment command_adapter_swap(const CommandState& state);
 /// True when the next word to the worker may leave.
 bool command_free(const WorkerBook& book, Moment now);
 /// Asks for reports that show the end of orders; identities of those whose order has ended without one.
--- a/src/core/placement/commandanswer.cpp
+++ b/src/core/placement/commandanswer.cpp
@@ -67,12 +67,14 @@
   }
   const auto unit = unit_of(book);
   const auto order = sent.order;
+  const auto ended = sent;
   if (shown && sent.doubtful && sent.from_store) store_take(state.store);
   book.order.reset();
   book_holdings(book, report.models, context.limits, context.now);
   book.orders_taken = report.orders_taken;
   const bool done = book_holds(book, order.model, order.adapter) == order.load;
   if (!done && !order.load && order.adapter.empty()) state.aborted.push_back(unit);
+  if (done && !order.adapter.empty()) command_time_adapter(state, ended, context.now);
   if (done)
     forget_refusals(state, book, order);
   else
--- a/src/core/placement/counts.cpp
+++ b/src/core/placement/counts.cpp
@@ -226,6 +226,8 @@
     if (!busy.contains(service->name)) advice.shrink_held = true;
     const auto crowd = count_for_running(demand_of(input, unit), *service);
     if (crowd > advice.wanted) advice = {crowd, true, "Running"};
+    const auto swaps = count_for_adapters(input, unit, *service);
+    if (swaps > advice.wanted) advice = {swaps, true, "Adapters"};
     own.reason = advice.reason;
     const std::int64_t least = std::min<std::int64_t>(count.count(), 1);
     const ModelOptions bounds{0, {least, workers[service->name]}, {least, workers[service->name]}, 0};
--- a/src/core/placement/plan.hpp
+++ b/src/core/placement/plan.hpp
@@ -104,6 +104,8 @@
   PlanWork* work = nullptr;
   /// Most units of a service that are given places in one turn; the longest wait goes first.
   std::size_t places_most = 1000000;
+  /// Time in which a worker swaps one adapter for another, as observed; 0 where none was swapped yet.
+  Moment adapter_swap = 0;
 };
 
 /// True while the last change of the count isn't over.
--- a/test/unit/adapterplaces.cpp
+++ b/test/unit/adapterplaces.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "core/placement/counts.hpp"
+#include "core/placement/crowd.hpp"
 #include "sim/simworkers.hpp"
 
 using namespace weldsail;
@@ -169,3 +170,24 @@
   plan_models(fleet.plan, input, effects);
   CHECK(planned_holders(fleet.plan, fleet.unit).size() > 1);
 }
+
+TEST_CASE("holders for adapters follow the line, the places and the observed time of a swap", "[placing]") {
+  struct Case {
+    std::size_t waiting;
+    std::size_t running;
+    Moment swap;
+    std::int64_t holders;
+  };
+  // Four places a holder, of which each has four adapters in turn within the bound.
+  const auto chosen = GENERATE(Case{0, 12, 0, 0}, Case{4, 0, 0, 1}, Case{16, 0, 0, 2}, Case{16, 0, bound / 100, 1},
+                               Case{17, 0, bound / 100, 2}, Case{40, 0, 0, 4}, Case{40, 0, bound / 100, 3},
+                               Case{40, 0, bound, 10}, Case{4, 4, bound, 2});
+  CAPTURE(chosen.waiting, chosen.running, chosen.swap);
+  AdapterFleet fleet(1, 4);
+  for (std::size_t adapter = 0; adapter < chosen.waiting; ++adapter) fleet.wait("a" + std::to_string(adapter), bound);
+  for (std::size_t adapter = 0; adapter < chosen.running; ++adapter)
+    fleet.wants[fleet.unit].adapters["b" + std::to_string(adapter)].running = 1;
+  PlanInput input{fleet.paths, fleet.books, fleet.committed, fleet.wants, bound, true, false, now};
+  input.adapter_swap = chosen.swap;
+  CHECK(count_for_adapters(input, fleet.unit, *unit_service(fleet.paths, fleet.unit)) == chosen.holders);
+}
