A control process votes where it has a disk and its machine counts, whatever the class

Without a disk, or on a machine that isn't counted where losses are borne, it runs without a vote; founders without a disk aren't waited for; a core that can't have the disks of its tolerance says so (core.too_few_disks).

--- a/src/core/consensus/founders.cpp
+++ b/src/core/consensus/founders.cpp
@@ -14,11 +14,18 @@
   }
   member_blank_disks(member, remembered);
   std::vector<std::uint64_t> disks;
-  for (const auto* entry : live_members(member, Program::control))
-    if (entry->disk() != 0 && std::ranges::find(state.founders, entry->address()) != state.founders.end())
+  std::size_t without_vote = 0;
+  for (const auto* entry : live_members(member, Program::control)) {
+    if (std::ranges::find(state.founders, entry->address()) == state.founders.end()) continue;
+    if (entry->disk() == 0)
+      ++without_vote;
+    else
       disks.push_back(entry->disk());
+  }
   std::ranges::sort(disks);
-  return disks.size() == state.founders.size() ? disks : std::vector<std::uint64_t>();
+  // Whether a founder has a disk follows from its settings, so all that see every founder name the same disks.
+  const bool all_there = disks.size() + without_vote == state.founders.size();
+  return all_there ? disks : std::vector<std::uint64_t>();
 }
 
 void formation_keep_founders(FormationState& state, const Records& records, bool fresh, Effects& effects) {
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -153,6 +153,7 @@
   }
   repair_lead(state.repair, state.member, state.formation, state.owners[core_key], now, effects);
   repair_copy(state.repair, state.member, state.formation, now, effects);
+  shortage_tick(state.shortage, state.member, state.formation, now, effects);
   vote_tick(state.vote, now, effects);
   prove_as_owner(state);
   currency_tick(state.currency, state.news, state.member, state.formation.core, now, effects);
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -6,6 +6,7 @@
 #include "core/consensus/departure.hpp"
 #include "core/consensus/recover.hpp"
 #include "core/consensus/repair.hpp"
+#include "core/consensus/shortage.hpp"
 #include "core/consensus/vote.hpp"
 #include "core/dialect.hpp"
 #include "core/limits.hpp"
@@ -61,6 +62,7 @@
   AcceptorState acceptor;
   VoteState vote;
   RepairState repair;
+  ShortageState shortage;
   RecoverState recover;
   FormationState formation;
   DutyState duty;
--- a/src/core/controlstart.cpp
+++ b/src/core/controlstart.cpp
@@ -16,15 +16,15 @@
   const auto bound = options.member.bound;
   state.formation.core_size = options.founders.empty() ? options.core_size : 0;
   state.formation.founders = options.founders;
-  state.repair.target = options.core_target;
+  state.repair.target = state.shortage.target = options.core_target;
   state.repair.replace_after = options.replace_after;
   state.departure.within = options.leave_within;
   state.config_duty.dialect = options.dialect;
   state.config_duty.remembered = options.remembered;
   if (options.dialect != nullptr) state.operate.patience = bound / asks_per_bound;
-  state.recover.bound = state.duty.bound = state.repair.bound = state.vote.bound = state.news.bound =
-      state.currency.bound = state.config_duty.bound = state.operate.bound = state.steward.bound = state.placing.bound =
-          bound;
+  state.shortage.bound = state.recover.bound = state.duty.bound = state.repair.bound = state.vote.bound =
+      state.news.bound = state.currency.bound = state.config_duty.bound = state.operate.bound = state.steward.bound =
+          state.placing.bound = bound;
   bulk_configure(state.bulk, bound);
   state.vote.kept = options.claims_kept;
   if (options.dialect != nullptr) state.news.control_only = {placement_key};
--- a/test/sim/fleet.hpp
+++ b/test/sim/fleet.hpp
@@ -1,4 +1,6 @@
 #pragma once
+#include <set>
+
 #include "sim/simback.hpp"
 
 namespace weldsail::sim {
@@ -10,6 +12,8 @@
   std::size_t core = 0;
   /// Control nodes that found the core by name, which then grows to the target; 0 to found it by number.
   std::size_t founders = 0;
+  /// Places of control nodes without a disk, whatever `core` says.
+  std::set<std::size_t> diskless = {};
   std::uint32_t core_target = 0;
   /// As the option of the control process.
   Moment replace_after = 0;
