Where lost requests' time goes: outcomes and phases by route, wsctl losses and explain

Metrics: request_outcomes_total by route, outcome and the phase that took most of the time (no worker free, weights not there, adapter not there, at a worker until the first event, pause, rest of the answer), request_phase_seconds as histograms. A request that lacks only an adapter is refused as no_adapter (was no_model). wsctl losses sums the metrics of nodes, wsctl explain tells a model's callers, holders and what it waits for.

--- a/src/core/forwarding/paths/call.hpp
+++ b/src/core/forwarding/paths/call.hpp
@@ -5,6 +5,7 @@
 
 #include "core/asks.hpp"
 #include "core/dialect.hpp"
+#include "core/forwarding/paths/losses.hpp"
 #include "core/limits.hpp"
 #include "core/placement/scaler.hpp"
 
@@ -58,6 +59,7 @@
   /// When events were last passed on to the caller.
   Moment last_event = 0;
   bool waits = false;
+  PhaseClock phases = {};
 };
 
 /// Parts of prompts that a worker probably keeps, the least recently used first out.
--- a/src/core/forwarding/paths/choose.cpp
+++ b/src/core/forwarding/paths/choose.cpp
@@ -41,7 +41,7 @@
   const auto pipes = std::max<std::size_t>(
       2, static_cast<std::size_t>(pipes_used * static_cast<double>(service.pipe_limit) / static_cast<double>(nodes)));
   const auto pause = state.options.member.bound / pauses_per_bound;
-  bool model_there = false;
+  auto lack = by_model ? Lack::model : Lack::worker;
   std::optional<std::pair<bool, double>> best;
   const auto& workers = state.path.fleet.workers;
   const auto& candidates =
@@ -49,8 +49,12 @@
   choice.considered = candidates.size();
   for (const auto& candidate : candidates) {
     const auto& worker = *candidate;
-    if (worker.draining() || (by_model && !holds_adapter(worker, carry.call))) continue;
-    model_there = true;
+    if (worker.draining()) continue;
+    if (by_model && !holds_adapter(worker, carry.call)) {
+      if (lack == Lack::model) lack = Lack::adapter;
+      continue;
+    }
+    lack = Lack::worker;
     const auto may_ask = carry_may_ask(carry, worker.identity(), pause, now);
     if (may_ask == MayAsk::never) continue;
     choice.later = true;
@@ -77,7 +81,7 @@
     best = rank;
     choice.worker = &worker;
   }
-  choice.lack = choice.worker != nullptr ? Lack::none : (by_model && !model_there ? Lack::model : Lack::worker);
+  choice.lack = choice.worker != nullptr ? Lack::none : lack;
   return choice;
 }
 
--- a/src/core/forwarding/paths/finish.cpp
+++ b/src/core/forwarding/paths/finish.cpp
@@ -41,6 +41,8 @@
 
 void path_finish(DataState& state, PathCarry& carry, Moment now, Effects& effects) {
   ++state.totals.finished;
+  const bool success = carry.status >= 200 && carry.status < 300;
+  losses_count(state, carry, success ? RequestOutcome::in_time : RequestOutcome::failed, now);
   if (carry.answer_begun)
     effects.push_back(AnswerEnd{carry.request, true});
   else
@@ -50,6 +52,7 @@
 
 void path_refuse(DataState& state, PathCarry& carry, int status, const char* reason, Moment now, Effects& effects) {
   ++state.totals.not_run;
+  losses_count(state, carry, RequestOutcome::refused, now);
   Answer answer{carry.request, status, {}, {}};
   if (status == 503) {
     const auto left = std::max<Moment>(0, carry.due - now) / retry_parts;
@@ -64,6 +67,7 @@
 
 void path_break(DataState& state, PathCarry& carry, const char* reason, Moment now, Effects& effects) {
   ++state.totals.unknown;
+  losses_count(state, carry, RequestOutcome::broken, now);
   if (carry.answer_begun) {
     ++state.totals.streams_broken;
     effects.push_back(AnswerEnd{carry.request, false});
--- a/src/core/forwarding/paths/move.cpp
+++ b/src/core/forwarding/paths/move.cpp
@@ -64,9 +64,20 @@
   if (!carry.call.adapter.empty()) count_change(use.adapters[carry.call.adapter].waiting, waits);
 }
 
+const char* lack_reason(Lack lack) {
+  if (lack == Lack::model) return "no_model";
+  return lack == Lack::adapter ? "no_adapter" : "no_worker";
+}
+
+RequestPhase phase_for(Lack lack) {
+  if (lack == Lack::model) return RequestPhase::model;
+  return lack == Lack::adapter ? RequestPhase::adapter : RequestPhase::worker;
+}
+
 void open_try(DataState& state, PathCarry& carry, const wire::WorkerEntry& worker, Moment now, Effects& effects) {
   auto& path = state.path;
   const auto pipe = state.numbers.take();
+  if (!carry.answer_begun) phase_enter(carry.phases, RequestPhase::first_event, now);
   if (carry_sent(carry) > 0) budget_repeat(path.budgets[carry.service], now);
   auto& track = path.tracks[worker.identity()];
   PathTry item{worker.identity(), pipe, TryPhase::open, now, 0, now, 0, false};
@@ -143,9 +154,9 @@
   if (no_tries && !choice.later) return give_up("tries");
   const bool ends_soon =
       state.leave_due != 0 && now >= state.leave_due - state.options.member.bound / leave_answers_per_bound;
-  if (ends_soon || now >= hold_due(carry, choice.later))
-    return give_up(choice.lack == Lack::model ? "no_model" : "no_worker");
+  if (ends_soon || now >= hold_due(carry, choice.later)) return give_up(lack_reason(choice.lack));
   set_waits(state, carry, true);
+  if (!carry.answer_begun) phase_enter(carry.phases, phase_for(choice.lack), now);
 }
 
 void path_dispatch(DataState& state, Moment now, Effects& effects) {
@@ -206,6 +217,7 @@
   set_waits(state, carry, false);
   path_cancel_try(state, carry, TryPhase::failed, "caller_gone", now, effects);
   ++state.totals.gone;
+  losses_count(state, carry, RequestOutcome::caller_gone, now);
   state.path.carries.erase(found);
 }
 
--- a/src/core/forwarding/paths/path.hpp
+++ b/src/core/forwarding/paths/path.hpp
@@ -34,7 +34,7 @@
 /// Brings a request in line with the configuration in force; false when that has no place for it.
 bool path_place(const DataState& state, PathCarry& carry);
 /// Why no worker was chosen, where none was.
-enum class Lack { none, model, worker };
+enum class Lack { none, model, adapter, worker };
 struct Choice {
   const wire::WorkerEntry* worker = nullptr;
   Lack lack = Lack::worker;
--- a/src/core/forwarding/paths/pipe.cpp
+++ b/src/core/forwarding/paths/pipe.cpp
@@ -50,6 +50,7 @@
   auto& track = state.path.tracks[item.worker];
   track.unread_tokens -= std::min(track.unread_tokens, item.missed_tokens);
   item.has_event = true;
+  phase_enter(carry.phases, RequestPhase::answer, now);
   if (!carry.unit.empty())
     path_counter(state, carry.unit, item.worker, now).first_event.add(static_cast<double>(now - item.begun));
 }
@@ -57,6 +58,7 @@
 void count_events(DataState& state, PathCarry& carry, const std::string& events, Moment now, Effects& effects) {
   auto& item = carry.tries.back();
   const auto pause = now - item.last_bytes;
+  if (item.has_event) carry.phases.longest_pause = std::max(carry.phases.longest_pause, pause);
   if (item.has_event && carry.route.gap_aim > 0 && pause > carry.route.gap_aim)
     note(effects, "stream.pause",
          {{"request", carry.call.identity},
--- a/src/core/forwarding/paths/state.hpp
+++ b/src/core/forwarding/paths/state.hpp
@@ -25,6 +25,7 @@
   /// Workers that were looked at to place requests.
   std::uint64_t considered = 0;
   std::map<std::string, std::uint64_t> outcomes;
+  LossesByRoute losses;
   /// Requests that were answered when they came, without being taken up, by status.
   std::map<int, std::uint64_t> refusals;
   Moment next_watch = 0;
--- a/src/core/forwarding/paths/take.cpp
+++ b/src/core/forwarding/paths/take.cpp
@@ -116,7 +116,7 @@
   carry.method = event.method;
   carry.target = event.target;
   carry.body = event.body;
-  carry.arrived = now;
+  carry.arrived = carry.phases.since = now;
   carry.due = now + std::min(carry.route.due, carry.call.wait > 0 ? carry.call.wait : carry.route.due);
   if (path_outlasts(state, carry, now)) {
     ++state.totals.not_run;
--- a/src/core/operations/datametrics.cpp
+++ b/src/core/operations/datametrics.cpp
@@ -23,6 +23,26 @@
   text.counter("prompt_hit_tokens_total", "Those that the worker was expected to remember.").sample(totals.hit_tokens);
 }
 
+/// What became of requests by route, and where their time went.
+void write_losses(MetricsText& text, const DataState& state) {
+  text.counter("request_outcomes_total", "Requests by host and path that have ended, by what took most of their time.");
+  for (const auto& [route, losses] : state.path.losses)
+    for (std::size_t outcome = 0; outcome < request_outcomes; ++outcome)
+      for (std::size_t cause = 0; cause < loss_causes; ++cause)
+        if (const auto count = losses.ended[outcome][cause]; count > 0)
+          text.sample(count, {{"route", route},
+                              {"outcome", request_outcome_name(static_cast<RequestOutcome>(outcome))},
+                              {"cause", loss_cause_name(cause)}});
+  text.histogram("request_phase_seconds", "Time that requests spent in a phase, of those that entered it.");
+  for (const auto& [route, losses] : state.path.losses)
+    for (std::size_t phase = 0; phase < request_phases; ++phase) {
+      const auto& histogram = losses.phases[phase];
+      if (std::ranges::all_of(histogram.counts, [](auto count) { return count == 0; })) continue;
+      text.buckets(phase_buckets, histogram.counts, histogram.sum,
+                   {{"route", route}, {"phase", request_phase_name(static_cast<RequestPhase>(phase))}});
+    }
+}
+
 void write_requests(MetricsText& text, const DataState& state) {
   std::uint64_t waiting = state.path.waiting.size();
   for (const auto& [name, pool] : state.pools) waiting += pool.waiting.size();
@@ -76,6 +96,7 @@
   const auto revision = state.path.config ? state.path.config->revision : 0;
   write_delivery_metrics(text, state.news, state.document_version, revision, now);
   write_outcomes(text, state);
+  write_losses(text, state);
   write_requests(text, state);
   write_workers(text, state, now);
   write_counters(text, state);
--- a/src/core/operations/metricstext.cpp
+++ b/src/core/operations/metricstext.cpp
@@ -32,6 +32,13 @@
   }
 }
 
+std::string seconds_text(Moment milliseconds) {
+  const bool negative = milliseconds < 0;
+  const auto length = negative ? -milliseconds : milliseconds;
+  const auto fraction = std::to_string(milliseconds_per_second + length % milliseconds_per_second);
+  return (negative ? "-" : "") + std::to_string(length / milliseconds_per_second) + "." + fraction.substr(1);
+}
+
 }  // namespace
 
 MetricsText& MetricsText::counter(std::string_view name, std::string_view help) {
@@ -50,10 +57,26 @@
 }
 
 MetricsText& MetricsText::seconds(Moment milliseconds, const MetricLabels& labels) {
-  const bool negative = milliseconds < 0;
-  const auto length = negative ? -milliseconds : milliseconds;
-  const auto fraction = std::to_string(milliseconds_per_second + length % milliseconds_per_second);
-  add((negative ? "-" : "") + std::to_string(length / milliseconds_per_second) + "." + fraction.substr(1), labels);
+  add(seconds_text(milliseconds), labels);
+  return *this;
+}
+
+MetricsText& MetricsText::histogram(std::string_view name, std::string_view help) {
+  begin(name, help, "histogram");
+  return *this;
+}
+
+MetricsText& MetricsText::buckets(std::span<const Moment> bounds, std::span<const std::uint64_t> counts, Moment sum,
+                                  const MetricLabels& labels) {
+  std::uint64_t count = 0;
+  for (std::size_t place = 0; place < counts.size(); ++place) {
+    count += counts[place];
+    auto with_bound = labels;
+    with_bound.emplace_back("le", place < bounds.size() ? seconds_text(bounds[place]) : "+Inf");
+    add(std::to_string(count), with_bound, "_bucket");
+  }
+  add(seconds_text(sum), labels, "_sum");
+  add(std::to_string(count), labels, "_count");
   return *this;
 }
 
@@ -67,10 +90,11 @@
   head_ += "\n";
 }
 
-void MetricsText::add(const std::string& value, const MetricLabels& labels) {
+void MetricsText::add(const std::string& value, const MetricLabels& labels, std::string_view suffix) {
   text_ += head_;
   head_.clear();
   text_ += name_;
+  text_ += suffix;
   const char* before = "{";
   for (const auto& [name, content] : labels) {
     text_ += before;
--- a/src/core/operations/metricstext.hpp
+++ b/src/core/operations/metricstext.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -24,11 +25,16 @@
   MetricsText& sample(std::uint64_t value, const MetricLabels& labels = {});
   /// Adds a sample of a span of time, in seconds.
   MetricsText& seconds(Moment milliseconds, const MetricLabels& labels = {});
+  /// Begins a family of distributions.
+  MetricsText& histogram(std::string_view name, std::string_view help);
+  /// Adds a distribution of times: counts by bucket, the last of which has no upper bound, and the sum of all.
+  MetricsText& buckets(std::span<const Moment> bounds, std::span<const std::uint64_t> counts, Moment sum,
+                       const MetricLabels& labels);
   const std::string& text() const { return text_; }
 
  private:
   void begin(std::string_view name, std::string_view help, std::string_view type);
-  void add(const std::string& value, const MetricLabels& labels);
+  void add(const std::string& value, const MetricLabels& labels, std::string_view suffix = {});
 
   std::string text_;
   std::string name_;
--- a/src/wsctl/command.cpp
+++ b/src/wsctl/command.cpp
@@ -1,3 +1,4 @@
+#include "wsctl/insight.hpp"
 #include "wsctl/words.hpp"
 
 #include <optional>
@@ -55,6 +56,8 @@
 }  // namespace
 
 CommandResult run_command(const CommandOptions& options) {
+  if (const auto fault = command_fault(options.words); fault.empty() && is_insight(options.words))
+    return run_insight(options);
   std::string trouble;
   const auto wanted = read_words(options, trouble);
   if (!wanted) return {exit_usage, {}, "wsctl: " + trouble + "\n"};
--- a/src/wsctl/main.cpp
+++ b/src/wsctl/main.cpp
@@ -16,7 +16,8 @@
     "replace OLD NEW | core add NEW | core remove OLD |\n"
     "  core recover CLUSTER DISK [accept-loss] |\n"
     "  runbook list | runbook show NAME | runbook run NAME |\n"
-    "  members | workers | placements | holds | status | metrics | drain NAME | undrain NAME\n"
+    "  members | workers | placements | holds | status | metrics | losses [ADDRESS ...] | explain MODEL | drain NAME | "
+    "undrain NAME\n"
     "  OLD and NEW are disks, by number or by the address of their process; NAME is worker:ADDRESS, node:ADDRESS or "
     "locality:NAME";
 
--- a/src/wsctl/words.cpp
+++ b/src/wsctl/words.cpp
@@ -16,13 +16,28 @@
   std::size_t most;
 };
 
-constexpr Known known_commands[] = {{"members", 1, 1},        {"workers", 1, 1},        {"placements", 1, 1},
-                                    {"holds", 1, 1},          {"status", 1, 1},         {"metrics", 1, 1},
-                                    {"drain", 2, 2},          {"undrain", 2, 2},        {"config get", 2, 2},
-                                    {"config history", 2, 2}, {"config outcome", 3, 3}, {"config put", 3, 3},
-                                    {"config change", 3, 3},  {"config check", 3, 3},   {"config move-tenant", 5, 16},
-                                    {"core show", 2, 2},      {"core replace", 4, 4},   {"core add", 3, 3},
-                                    {"core remove", 3, 3},    {"core recover", 4, 5}};
+constexpr Known known_commands[] = {{"members", 1, 1},
+                                    {"workers", 1, 1},
+                                    {"placements", 1, 1},
+                                    {"holds", 1, 1},
+                                    {"status", 1, 1},
+                                    {"metrics", 1, 1},
+                                    {"losses", 1, 1000},
+                                    {"explain", 2, 2},
+                                    {"drain", 2, 2},
+                                    {"undrain", 2, 2},
+                                    {"config get", 2, 2},
+                                    {"config history", 2, 2},
+                                    {"config outcome", 3, 3},
+                                    {"config put", 3, 3},
+                                    {"config change", 3, 3},
+                                    {"config check", 3, 3},
+                                    {"config move-tenant", 5, 16},
+                                    {"core show", 2, 2},
+                                    {"core replace", 4, 4},
+                                    {"core add", 3, 3},
+                                    {"core remove", 3, 3},
+                                    {"core recover", 4, 5}};
 
 std::optional<std::string> read_file(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
--- a/test/unit/metricsreader.hpp
+++ b/test/unit/metricsreader.hpp
@@ -132,16 +132,23 @@
     }
     REQUIRE(family.type.empty());
     family.type = rest;
-    REQUIRE((family.type == "counter" || family.type == "gauge"));
+    REQUIRE((family.type == "counter" || family.type == "gauge" || family.type == "histogram"));
     CHECK((family.type == "counter") == name.ends_with("_total"));
   }
 
   void read_sample(std::string_view rest) {
     const auto name = take_name(rest, true);
-    REQUIRE(name == current_);
-    auto& family = families[name];
+    auto& family = families[current_];
     REQUIRE_FALSE(family.type.empty());
     std::map<std::string, std::string> labels;
+    // The samples of a distribution have the family's name and an ending, which is kept as a label of its own.
+    if (family.type == "histogram") {
+      REQUIRE(name.starts_with(current_));
+      labels["part"] = name.substr(current_.size());
+      REQUIRE((labels["part"] == "_bucket" || labels["part"] == "_sum" || labels["part"] == "_count"));
+    } else {
+      REQUIRE(name == current_);
+    }
     if (rest.starts_with("{")) {
       take(rest, "{");
       while (true) {
@@ -159,7 +166,8 @@
     const double value = std::strtod(number.c_str(), &end);
     REQUIRE_FALSE(number.empty());
     REQUIRE(*end == '\0');
-    if (family.type == "counter") CHECK(value >= 0);
+    if (family.type != "gauge") CHECK(value >= 0);
+    if (family.type == "histogram") CHECK(labels.contains("le") == (labels["part"] == "_bucket"));
     REQUIRE(family.samples.emplace(labels, value).second);
   }
 
