Worker choice: where others' load isn't known another zone costs its way, not a spread

Hypothesis: with others' load unknown, a fixed 6 ms for another zone keeps a zone's requests at its own holders, however full they are. Zones are 1 ms apart there. Change: 2 where the worker hasn't told its load within the bound; 6 as before where it has. Test: requests spread over holders that don't tell their load, with 8 and 80 nodes and engines four times faster and slower.

--- a/src/core/forwarding/paths/choose.cpp
+++ b/src/core/forwarding/paths/choose.cpp
@@ -12,6 +12,8 @@
 constexpr double running_cost = 1;
 constexpr double waiting_cost = 40;
 constexpr double elsewhere_cost = 6;
+// Where others' requests aren't known, all holders share the work: another zone costs about its way there and back.
+constexpr double elsewhere_cost_untold = 2;
 constexpr double spread_cost = 3;
 // Where others' requests aren't known, the cost is drawn from so many deviations of what they may be.
 constexpr double spread_deviations = 2;
@@ -91,16 +93,17 @@
     const auto running = static_cast<double>(track.open) + others_now(track, state.options.member.bound, now);
     double cost = running * running_cost * (by_model ? 1 : waiting_cost / slots);
     if (running >= slots) cost += (running - slots + 1) * waiting_cost;
+    const auto untold = by_model ? unknown_share(track, state.options.member.bound, now) : 0;
     if (by_model) {
       cost += static_cast<double>(parts_missed(track.parts, carry.call, carry.chain) + track.unread_tokens) /
               read_tokens_per_ms;
       const auto place = digest(worker.identity());
-      const auto unknown = unknown_share(track, state.options.member.bound, now);
-      cost += unknown * spread * running_cost * unit_fraction(mix(state.random ^ carry.request ^ place));
+      cost += untold * spread * running_cost * unit_fraction(mix(state.random ^ carry.request ^ place));
       if (!carry.chain.empty())
-        cost += (1 - unknown) * spread_cost * unit_fraction(rendezvous_weight(carry.chain.front(), place));
+        cost += (1 - untold) * spread_cost * unit_fraction(rendezvous_weight(carry.chain.front(), place));
     }
-    if (worker.locality() != state.options.member.locality) cost += elsewhere_cost;
+    if (worker.locality() != state.options.member.locality)
+      cost += elsewhere_cost + untold * (elsewhere_cost_untold - elsewhere_cost);
     const std::pair rank{now < track.avoid_until, cost};
     if (best && rank >= *best) continue;
     best = rank;
--- a/test/unit/frontsbench.hpp
+++ b/test/unit/frontsbench.hpp
@@ -12,10 +12,10 @@
 /// up after some silence, and come back once after a refusal. It holds counts of requests only.
 class Fronts {
  public:
-  static constexpr std::size_t nodes = 60;
+  static constexpr std::size_t default_nodes = 60;
   static constexpr std::uint64_t slots = 32;
   static constexpr std::size_t queue_most = 96;
-  static constexpr Moment run_time = 1500;
+  static constexpr Moment default_run_time = 1500;
   static constexpr Moment transit = 2;
   static constexpr std::uint64_t events = 5;
   static constexpr Moment tick_pace = 50;
@@ -23,9 +23,19 @@
   /// Silence after which a caller gives up.
   static constexpr Moment patience = 2400;
   /// Requests a second that keep all slots of one worker busy.
-  static constexpr double worker_rate = 1000.0 * static_cast<double>(slots) / static_cast<double>(run_time);
+  static constexpr double worker_rate = 1000.0 * static_cast<double>(slots) / static_cast<double>(default_run_time);
+
+  /// How many data nodes there are, how long a request runs, and whether workers tell their load.
+  struct Form {
+    std::size_t nodes = default_nodes;
+    Moment run_time = default_run_time;
+    bool tells_load = true;
+    /// The same for the rate of requests as for its time.
+    double rate() const { return 1000.0 * static_cast<double>(slots) / static_cast<double>(run_time); }
+  };
 
-  explicit Fronts(std::size_t workers) {
+  explicit Fronts(std::size_t workers) : Fronts(workers, Form{}) {}
+  Fronts(std::size_t workers, const Form& form) : form_(form), nodes(form.nodes), run_time(form.run_time) {
     for (std::size_t node = 0; node < nodes; ++node) add_front(node);
     for (std::size_t place = 0; place < workers; ++place) add_worker();
   }
@@ -68,6 +78,9 @@
   std::size_t given_up = 0;
 
  private:
+  Form form_;
+  std::size_t nodes;
+  Moment run_time;
   /// One try at a worker.
   struct Run {
     std::size_t front;
@@ -185,7 +198,9 @@
     const auto load = std::to_string(worker.running.size()) + "," + std::to_string(worker.waiting.size()) + "," +
                       std::to_string(slots);
     after(transit, [this, run, load] {
-      tell(run, PipeHead{run.pipe, 200, {{"x-trial-id", run.trial}, {"x-unit-load", load}, {"x-server-seal", "s"}}});
+      std::vector<Header> headers{{"x-trial-id", run.trial}, {"x-server-seal", "s"}};
+      if (form_.tells_load) headers.push_back({"x-unit-load", load});
+      tell(run, PipeHead{run.pipe, 200, headers});
     });
     for (std::uint64_t event = 0; event < events; ++event)
       after(transit + static_cast<Moment>(event) * run_time / static_cast<Moment>(events), [this, run, event] {
--- a/test/unit/pathspread.cpp
+++ b/test/unit/pathspread.cpp
@@ -25,3 +25,16 @@
   CHECK(fronts.answered * 100 >= fronts.asked * 90);
   CHECK(fronts.misplaced * 100 <= fronts.asked * 40);
 }
+
+TEST_CASE("requests spread over holders that don't tell their load, for any engine and number of data nodes",
+          "[carry]") {
+  const auto nodes = GENERATE(std::size_t{8}, std::size_t{80});
+  const auto run_time = GENERATE(Moment{375}, Moment{1500}, Moment{6000});
+  CAPTURE(nodes, run_time);
+  Fronts fronts(12, {nodes, run_time, false});
+  const Fronts::Form form{nodes, run_time, false};
+  fronts.ask(0.5 * 12 * form.rate(), 6 * run_time);
+  fronts.finish();
+  CHECK(fronts.in_time * 100 >= fronts.asked * 95);
+  CHECK(fronts.misplaced * 100 <= fronts.asked * 5);
+}
