Leaving data nodes tell what they took, refused and cut

Now each is an error line with its times since SIGTERM, and a counter tells what the node did since. No logic changes.

--- a/src/core/forwarding/paths/leave.cpp
+++ b/src/core/forwarding/paths/leave.cpp
@@ -16,14 +16,34 @@
 
 Moment share_of(double share, Moment time) { return static_cast<Moment>(share * static_cast<double>(time)); }
 
+/// Logs an answer that ends before it is whole; times are counted from the request to leave, negative before it.
+void note_cut(const DataState& state, const PathCarry& carry, Moment now, Effects& effects) {
+  const auto since_leave = [&](Moment moment) { return std::to_string(moment - state.path.leave_began); };
+  const auto& last = carry.tries.back();
+  note(effects, "leaving.cut",
+       {{"request", carry.call.identity},
+        {"route", carry.route.name},
+        {"worker", last.worker},
+        {"taken_ms", since_leave(carry.arrived)},
+        {"sent_ms", since_leave(last.begun)},
+        {"cut_ms", since_leave(now)},
+        {"most_tokens", std::to_string(carry.call.most_tokens)},
+        {"answer_begun", carry.answer_begun ? "true" : "false"}},
+       true);
+}
+
 void break_off(DataState& state, Moment now, Effects& effects) {
   while (!state.path.carries.empty()) {
     auto& carry = state.path.carries.begin()->second;
     path_cancel_try(state, carry, TryPhase::failed, "leaving", now, effects);
-    if (carry_may_have_run(carry) || carry.answer_begun)
+    if (carry_may_have_run(carry) || carry.answer_begun) {
+      ++state.path.leaving.cut;
+      note_cut(state, carry, now, effects);
       path_break(state, carry, "leaving", now, effects);
-    else
+    } else {
+      ++state.path.leaving.refused_held;
       path_refuse(state, carry, 503, "leaving", now, effects);
+    }
   }
 }
 
@@ -32,6 +52,7 @@
 void path_leave(DataState& state, Moment now) {
   const auto& limits = state.options.limits;
   const auto take_time = std::min(limits.grace / take_parts, limits.drain);
+  state.path.leave_began = now;
   state.leave_due = now + share_of(leave_share, limits.grace);
   state.path.take_until = now + take_time;
   state.path.close_resting_at = now + share_of(rest_share, take_time);
--- a/src/core/forwarding/paths/move.cpp
+++ b/src/core/forwarding/paths/move.cpp
@@ -154,6 +154,7 @@
   if (no_tries && !choice.later) return give_up("tries");
   const bool ends_soon =
       state.leave_due != 0 && now >= state.leave_due - state.options.member.bound / leave_answers_per_bound;
+  if (ends_soon && !may_have_run && !carry.answer_begun) ++state.path.leaving.refused_held;
   if (ends_soon || now >= hold_due(carry, choice.later)) return give_up(lack_reason(choice.lack));
   set_waits(state, carry, true);
   if (!carry.answer_begun) phase_enter(carry.phases, phase_for(choice.lack), now);
--- a/src/core/forwarding/paths/state.hpp
+++ b/src/core/forwarding/paths/state.hpp
@@ -5,6 +5,16 @@
 
 namespace weldsail {
 
+/// What a node that leaves did with requests since it was told to.
+struct LeavingCounts {
+  std::uint64_t taken = 0;
+  std::uint64_t refused = 0;
+  /// Refused after they were held, as no worker could be had that would finish them in time.
+  std::uint64_t refused_held = 0;
+  /// Ended without a whole answer, as the node's time was over.
+  std::uint64_t cut = 0;
+};
+
 /// Requests by host and path in a data node, and what it knows to carry them.
 struct PathState {
   std::optional<PathConfig> config;
@@ -26,10 +36,13 @@
   std::uint64_t considered = 0;
   std::map<std::string, std::uint64_t> outcomes;
   LossesByRoute losses;
+  LeavingCounts leaving;
   /// Requests that were answered when they came, without being taken up, by status.
   std::map<int, std::uint64_t> refusals;
   Moment next_watch = 0;
   Moment last_busy = 0;
+  /// When this node was told to leave; 0 while it wasn't.
+  Moment leave_began = 0;
   /// When this node leaves: until then it takes requests that may outlast it.
   Moment take_until = 0;
   /// When a leaving node closes the connections that rest; 0: not, or done.
--- a/src/core/forwarding/paths/take.cpp
+++ b/src/core/forwarding/paths/take.cpp
@@ -120,8 +120,10 @@
   carry.due = now + std::min(carry.route.due, carry.call.wait > 0 ? carry.call.wait : carry.route.due);
   if (path_outlasts(state, carry, now)) {
     ++state.totals.not_run;
+    ++path.leaving.refused;
     return refuse(state, event.request, 503, state.options.member.bound / elsewhere_parts, effects);
   }
+  if (state.leave_due != 0) ++path.leaving.taken;
   carry.chain = part_chain(carry.call);
   carry.reader.last = carry.call.last_event;
   budget_request(path.budgets[carry.service], now);
--- a/src/core/operations/datametrics.cpp
+++ b/src/core/operations/datametrics.cpp
@@ -17,6 +17,10 @@
     if (reason != "finished") text.sample(count, {{"reason", reason}});
   text.counter("requests_refused_total", "Requests by host and path that were refused when they came, by status.");
   for (const auto& [status, count] : state.path.refusals) text.sample(count, {{"status", std::to_string(status)}});
+  const auto& leaving = state.path.leaving;
+  text.counter("leaving_requests_total", "Requests by host and path since this node was told to leave, by outcome.");
+  text.sample(leaving.taken, {{"outcome", "taken"}}).sample(leaving.refused, {{"outcome", "refused"}});
+  text.sample(leaving.refused_held, {{"outcome", "refused_held"}}).sample(leaving.cut, {{"outcome", "cut"}});
   text.counter("attempt_breakdowns_total", "Attempts at workers that failed, by reason.");
   for (const auto& [reason, count] : totals.breakdowns) text.sample(count, {{"reason", reason}});
   text.counter("prompt_tokens_total", "Tokens of prompts.").sample(totals.prompt_tokens);
