A leaving data node uses 0.96 of its grace

What was begun before SIGTERM, or just fits, has more time; answers are written for 0.7 of the rest, 0.22 s of a grace of 8 s.

--- a/src/core/forwarding/paths/leave.cpp
+++ b/src/core/forwarding/paths/leave.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 // Part of the grace that is used to finish what is in hand.
-constexpr double leave_share = 0.85;
+constexpr double leave_share = 0.96;
 // Callers go on choosing a leaving node for a part of the grace, at most as long as draining takes; its connections
 // that rest are closed after this share of that time.
 constexpr Moment callers_parts = 3;
