--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -123,6 +123,16 @@
   operate_forward(state.operate, state.bulk, state.member, std::move(operation), *key, event.request, now, effects);
 }
 
+/// The time of a node that leaves is over: what it still carries gets its final answer.
+void break_off(DataState& state, Moment now, Effects& effects) {
+  while (!state.carries.empty()) {
+    const auto& [request, carry] = *state.carries.begin();
+    const auto unknown = ledger_may_have_run(carry.ledger) ? Move::give_up_unknown : Move::give_up_not_run;
+    carry_end(state, carry, carry.ledger.answer_begun ? Move::end_in_error : unknown, effects);
+    carry_drop(state, request, now, effects);
+  }
+}
+
 void on_tick(DataState& state, const Ticked& event, Moment now, Effects& effects) {
   state.random = event.random;
   const auto known = news_known(state.news);
@@ -147,7 +157,8 @@
     if (path_may_depart(state, now, effects)) effects.push_back(Depart{path_write_time(state)});
     return;
   }
-  if (state.carries.empty() || now >= state.leave_due) effects.push_back(Depart{});
+  if (now >= state.leave_due) break_off(state, now, effects);
+  if (state.carries.empty()) effects.push_back(Depart{});
 }
 
 void on_leave(DataState& state, Moment now, Effects& effects) {
