A leaving data node judges streams by streams, answers in one piece by their like

Lengths are kept apart, and a stream's pace is known only by eight streams with tokens after their first event. Test: leavingstreams, answers in one piece tell nothing (with the code before, the request is handed to a worker).

--- a/src/core/forwarding/paths/call.hpp
+++ b/src/core/forwarding/paths/call.hpp
@@ -106,7 +106,7 @@
   Moment last_used = 0;
   AskRecord asks;
   std::map<std::string, AdapterUse> adapters;
-  AnswerLengths lengths = {};
+  LengthsByKind lengths = {};
 };
 
 /// What was counted for one unit on one worker.
--- a/src/core/forwarding/paths/leave.cpp
+++ b/src/core/forwarding/paths/leave.cpp
@@ -21,16 +21,21 @@
 
 Moment with_spare(Moment time, Moment parts) { return time + time / parts; }
 
+std::optional<Moment> longest_of_kind(const LengthsByKind& lengths, const PathCarry& carry) {
+  if (carry.route.mode == PathMode::stream) return lengths.streams.longest(carry.call.most_tokens);
+  return lengths.in_one_piece.longest(0);
+}
+
 /// The longest that an answer to the request may take, by the answers of its own unit, or where too few of these were
 /// seen, of its service.
 std::optional<Moment> longest_answer(const DataState& state, const PathCarry& carry) {
-  const auto most_tokens = carry.call.most_tokens;
   const auto unit = state.path.units.find(carry.unit);
   if (unit != state.path.units.end())
-    if (const auto longest = unit->second.lengths.longest(most_tokens)) return with_spare(*longest, unit_spare_parts);
+    if (const auto longest = longest_of_kind(unit->second.lengths, carry))
+      return with_spare(*longest, unit_spare_parts);
   const auto service = state.path.lengths.find(carry.service);
   if (service == state.path.lengths.end()) return std::nullopt;
-  const auto longest = service->second.longest(most_tokens);
+  const auto longest = longest_of_kind(service->second, carry);
   return longest ? std::optional(with_spare(*longest, service_spare_parts)) : std::nullopt;
 }
 
--- a/src/core/forwarding/paths/lengths.hpp
+++ b/src/core/forwarding/paths/lengths.hpp
@@ -1,7 +1,7 @@
 #pragma once
-#include <array>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "core/event.hpp"
 
@@ -27,9 +27,15 @@
   std::optional<Moment> longest(std::uint64_t most_tokens) const;
 
  private:
-  static constexpr std::size_t kept = 64;
-  std::array<AnswerLength, kept> lengths_{};
-  std::size_t added_ = 0;
+  std::vector<AnswerLength> lengths_;
+  /// The one that gives way next.
+  std::size_t oldest_ = 0;
+};
+
+/// Lengths of streams and of answers in one piece, neither of which tells how long the other takes.
+struct LengthsByKind {
+  AnswerLengths streams;
+  AnswerLengths in_one_piece;
 };
 
 }  // namespace weldsail
--- a/src/core/forwarding/paths/pipe.cpp
+++ b/src/core/forwarding/paths/pipe.cpp
@@ -105,19 +105,25 @@
   state.path.tracks[carry.tries.back().worker].last_bytes = now;
 }
 
+void add_length(LengthsByKind& lengths, bool stream, const AnswerLength& length) {
+  (stream ? lengths.streams : lengths.in_one_piece).add(length);
+}
+
 /// A success that one worker gave whole tells how long the next ones may take.
 void count_length(DataState& state, const PathCarry& carry, Moment now) {
   const bool success = carry.status >= 200 && carry.status < 300;
   if (!success || carry.call.last_event || carry_sent(carry) > 1) return;
+  const bool stream = streams(carry);
   const auto& item = carry.tries.back();
-  AnswerLength length{(item.has_event ? item.first_event : now) - item.begun, 0, 0};
-  if (item.has_event) {
+  AnswerLength length{now - item.begun, 0, 0};
+  if (stream && item.has_event) {
+    length.first = item.first_event - item.begun;
     length.rest = now - item.first_event;
     length.rest_tokens =
         (std::max<std::uint64_t>(1, item.events) - 1) * state.path.config->services[carry.service].tokens_per_event;
   }
-  state.path.lengths[carry.service].add(length);
-  if (!carry.unit.empty()) state.path.units[carry.unit].lengths.add(length);
+  add_length(state.path.lengths[carry.service], stream, length);
+  if (!carry.unit.empty()) add_length(state.path.units[carry.unit].lengths, stream, length);
 }
 
 void take_end(DataState& state, PathCarry& carry, const PipeEnded& event, Moment now, Effects& effects) {
--- a/src/core/forwarding/paths/state.hpp
+++ b/src/core/forwarding/paths/state.hpp
@@ -30,7 +30,7 @@
   std::map<std::string, PathBudget> budgets;
   std::map<std::string, UnitUse> units;
   /// Lengths of answers by service, for units of which too few were seen.
-  std::map<std::string, AnswerLengths> lengths;
+  std::map<std::string, LengthsByKind> lengths;
   /// Units that requests have begun to wait for since the last report.
   std::set<std::string> fresh;
   std::map<std::string, std::map<std::string, UnitCounter>> counters;
--- a/test/unit/answerlengths.cpp
+++ b/test/unit/answerlengths.cpp
@@ -23,16 +23,19 @@
   AnswerLengths lengths;
   for (int count = 0; count < 40; ++count) lengths.add({100, 60, 10});
   CHECK(lengths.longest(1000) == 6100);
-  // Nor do answers without a token after the first event.
-  for (int count = 0; count < 40; ++count) lengths.add({100, 0, 0});
+  // Nor do answers without a token after the first event: with fewer than eight others the pace isn't known.
+  for (int count = 0; count < 56; ++count) lengths.add({100, 0, 0});
   CHECK(lengths.longest(1000) == 6100);
+  lengths.add({100, 0, 0});
+  CHECK_FALSE(lengths.longest(1000));
+  CHECK(lengths.longest(0) == 100);
 }
 
 TEST_CASE("nearly all answers are no slower than is told, and one that was far slower doesn't decide", "[carry]") {
   AnswerLengths lengths;
   lengths.add({90000, 0, 0});
   for (int count = 1; count <= 60; ++count) lengths.add({count, 0, 0});
-  const auto longest = lengths.longest(1);
+  const auto longest = lengths.longest(0);
   REQUIRE(longest);
   CHECK(*longest >= 57);
   CHECK(*longest <= 60);
--- a/test/unit/leavingstreams.cpp
+++ b/test/unit/leavingstreams.cpp
@@ -171,3 +171,13 @@
   CHECK(world.calls[held].sent == 0);
   CHECK(world.calls[held].status.value_or(-1) == 503);
 }
+
+TEST_CASE("answers in one piece tell a leaving node nothing of how long a stream of the same model takes", "[carry]") {
+  unit::PathBench bench;
+  for (int count = 0; count < 64; ++count)
+    bench.state.path.units[path_unit("chat", "m1")].lengths.in_one_piece.add({150, 0, 0});
+  path_leave(bench.state, bench.now);
+  bench.ask("/note/x");
+  CHECK(bench.all<OpenPipe>().empty());
+  CHECK(bench.only<Answer>().status == 503);
+}
--- a/test/unit/pathbench.hpp
+++ b/test/unit/pathbench.hpp
@@ -79,7 +79,7 @@
   void answers_seen(Moment first, Moment rest) {
     constexpr int enough = 8;
     for (int count = 0; count < enough; ++count)
-      state.path.units[path_unit("chat", "m1")].lengths.add({first, rest, 0});
+      state.path.units[path_unit("chat", "m1")].lengths.streams.add({first, rest, 0});
   }
 
   template <typename Kind>
