Soak: streams of up to six seconds that a leaving process must end whole or not begin

Callers of the deployment's form ask for streams beside answers in one piece; one that is cut is a breach, but for a process that was killed or stood still meanwhile.

--- a/test/soak/modelcallers.cpp
+++ b/test/soak/modelcallers.cpp
@@ -15,6 +15,13 @@
 constexpr std::size_t adapter_share = 2;
 constexpr const char* due_ms = "3000";
 constexpr Moment answer_within = 8000;
+/// One call in so many asks for a stream of one of the first models.
+constexpr std::size_t stream_share = 8;
+constexpr std::size_t stream_models = 4;
+constexpr std::size_t least_events = 5;
+constexpr std::size_t most_events = 150;
+constexpr const char* stream_due_ms = "20000";
+constexpr Moment stream_within = 25000;
 constexpr Moment back_after = 400;
 constexpr std::size_t often_tries = 4;
 constexpr Moment often_span = 8000;
@@ -30,11 +37,13 @@
 std::string ModelCallers::route_text() {
   return std::string(R"({"label":"generate","host":")") + host +
          R"(","path_prefix":"/generate/","plant":"generators","mode":"idempotent","deadline_ms":5000,)" +
-         R"("setpoint_ms":500,"trials":2,"pinned":true})";
+         R"("setpoint_ms":500,"trials":2,"pinned":true},{"label":"talk","host":")" + host + R"(","path_prefix":")" +
+         ModelWorkers::stream_prefix + R"(","plant":"generators","mode":"stream","deadline_ms":20000,)" +
+         R"("setpoint_ms":500,"gap_setpoint_ms":300,"trials":2,"pinned":true})";
 }
 
-ModelCallers::ModelCallers(FleetView fleet, Asker& asker, Ledger& ledger, std::uint64_t seed)
-    : fleet_(fleet), asker_(asker), ledger_(ledger), random_(seed) {}
+ModelCallers::ModelCallers(FleetView fleet, Asker& asker, Ledger& ledger, const Troubles& troubles, std::uint64_t seed)
+    : fleet_(fleet), asker_(asker), ledger_(ledger), troubles_(troubles), random_(seed) {}
 
 void ModelCallers::tick(Moment now) {
   while (!returning_.empty() && returning_.begin()->first <= now) {
@@ -48,6 +57,10 @@
   call.model = ModelWorkers::model_name(1 + pick(random_, ModelWorkers::models - 1));
   if (pick(random_, adapter_share) == 0)
     call.model = ModelWorkers::model_name(0) + "/a" + std::to_string(1 + pick(random_, ModelWorkers::adapters));
+  if (pick(random_, stream_share) == 0) {
+    call.model = ModelWorkers::model_name(1 + pick(random_, stream_models));
+    call.events = least_events + pick(random_, most_events - least_events + 1);
+  }
   call.further_tries = further_tries;
   send(std::move(call));
 }
@@ -60,24 +73,27 @@
   if (asked.count++ == 0) asked.first = call.sent;
   asked.last = call.sent;
   ++open_;
+  const bool streams = call.events != 0;
   asker_.ask({"POST",
               fleet_.child(call.process).callers,
-              "/generate/x",
+              streams ? std::string(ModelWorkers::stream_prefix) + "x" : "/generate/x",
               {{"host", host},
                {"x-trial-id", call.trial},
-               {"x-deadline-ms", due_ms},
+               {"x-deadline-ms", streams ? stream_due_ms : due_ms},
                {"x-model", call.model},
-               {"x-tokens", "20,4"}},
+               {"x-tokens", "20," + std::to_string(streams ? call.events : 4)}},
               "{}",
-              answer_within},
+              streams ? stream_within : answer_within},
              [this, call](const Reply& reply) { answered(call, reply); });
 }
 
 void ModelCallers::answered(const Call& call, const Reply& reply) {
   --open_;
-  ++outcomes_[reply.whole ? std::to_string(reply.status) : "broken_off"];
+  const std::string kind = call.events != 0 ? "stream_" : "";
+  ++outcomes_[kind + (reply.whole ? std::to_string(reply.status) : "broken_off")];
+  judge_cut(call, reply);
   if (reply.whole && reply.status == 200) {
-    if (reply.body == "answer to " + call.trial)
+    if (is_right(call, reply))
       asked_[call.model].served = true;
     else
       ledger_.breach("request " + call.trial + " was answered with another's answer: " + reply.body);
@@ -86,6 +102,22 @@
   come_back(call, reply);
 }
 
+bool ModelCallers::is_right(const Call& call, const Reply& reply) const {
+  if (call.events == 0) return reply.body == "answer to " + call.trial;
+  const auto last = "id: " + std::to_string(call.events) + "\ndata: end of " + call.trial + "\n\n";
+  return reply.body.ends_with(last);
+}
+
+void ModelCallers::judge_cut(const Call& call, const Reply& reply) {
+  if (call.events == 0 || reply.whole || reply.status != 200) return;
+  if (troubles_.callers_disturbed_since(call.process, call.sent)) return;
+  const auto told = troubles_.left_since(call.process, call.sent);
+  const auto now = monotonic_now();
+  ledger_.breach("stream " + call.trial + " of " + std::to_string(call.events) + " events was cut at " +
+                 fleet_.child(call.process).name + " " + std::to_string(now - call.sent) + " ms after it was sent" +
+                 (told ? ", " + std::to_string(now - *told) + " ms after the process was told to leave" : ""));
+}
+
 void ModelCallers::come_back(const Call& call, const Reply& reply) {
   if (call.further_tries == 0 || stopped_) return;
   auto again = call;
--- a/test/soak/modelcallers.hpp
+++ b/test/soak/modelcallers.hpp
@@ -2,14 +2,16 @@
 #include "asker.hpp"
 #include "fleetview.hpp"
 #include "ledger.hpp"
+#include "troubles.hpp"
 
 namespace weldsail::soak {
 
 /// Callers of many models and adapters, more than the workers have places for. A caller that is refused comes back
-/// twice, each time at another data process, and on connections that stay open until their process is gone.
+/// twice, each time at another data process, and on connections that stay open until their process is gone. Some ask
+/// for streams of up to six seconds, which a data process that is told to leave must end whole or not begin.
 class ModelCallers {
  public:
-  ModelCallers(FleetView fleet, Asker& asker, Ledger& ledger, std::uint64_t seed);
+  ModelCallers(FleetView fleet, Asker& asker, Ledger& ledger, const Troubles& troubles, std::uint64_t seed);
   void tick(Moment now);
   void stop() { stopped_ = true; }
   bool idle() const { return open_ == 0 && returning_.empty(); }
@@ -20,7 +22,7 @@
   };
   Starved starved() const;
   const std::map<std::string, std::size_t>& outcomes() const { return outcomes_; }
-  /// A route of the configuration for these callers.
+  /// Routes of the configuration for these callers.
   static std::string route_text();
 
  private:
@@ -30,6 +32,8 @@
     std::size_t process = 0;
     std::size_t further_tries = 0;
     Moment sent = 0;
+    /// Events of the stream that is asked for; none: an answer in one piece.
+    std::size_t events = 0;
   };
   struct Asked {
     std::size_t count = 0;
@@ -39,11 +43,15 @@
   };
   void send(Call call);
   void answered(const Call& call, const Reply& reply);
+  bool is_right(const Call& call, const Reply& reply) const;
+  /// A begun stream that ends early is a breach, but for one whose process was killed or stood still.
+  void judge_cut(const Call& call, const Reply& reply);
   void come_back(const Call& call, const Reply& reply);
 
   FleetView fleet_;
   Asker& asker_;
   Ledger& ledger_;
+  const Troubles& troubles_;
   Random random_;
   std::map<std::string, Asked> asked_;
   std::multimap<Moment, Call> returning_;
--- a/test/soak/modelworkers.cpp
+++ b/test/soak/modelworkers.cpp
@@ -67,15 +67,37 @@
   for (auto& worker : workers_) {
     worker->server->sweep(now);
     if (worker->order && now >= worker->order->ends) end_order(*worker);
-    std::vector<Running> ended;
-    std::erase_if(worker->running, [&](const Running& item) {
-      if (now >= item.ends) ended.push_back(item);
-      return now >= item.ends;
-    });
-    for (const auto& item : ended)
-      worker->server->answer(
-          {item.request, 200, {{"x-trial-id", item.trial}, {"x-server-seal", "seal"}}, "answer to " + item.trial});
+    // Giving may tell that a caller is gone, which takes its item out.
+    std::vector<std::uint64_t> due;
+    for (const auto& item : worker->running)
+      if (now >= item.due) due.push_back(item.request);
+    for (const auto request : due) {
+      const auto found = std::ranges::find(worker->running, request, &Running::request);
+      if (found == worker->running.end()) continue;
+      auto item = *found;
+      const bool last = give(*worker, item);
+      std::erase_if(worker->running, [&](Running& other) {
+        if (other.request == request) other = item;
+        return last && other.request == request;
+      });
+    }
+  }
+}
+
+bool ModelWorkers::give(Worker& worker, Running& item) {
+  const std::vector<Header> head{{"x-trial-id", item.trial}, {"x-server-seal", "seal"}};
+  if (item.events == 0) {
+    worker.server->answer({item.request, 200, head, "answer to " + item.trial});
+    return true;
   }
+  if (item.given == 0) worker.server->head({item.request, 200, head});
+  ++item.given;
+  const bool last = item.given == item.events;
+  const auto text = last ? "end of " + item.trial : std::string("more");
+  worker.server->bytes({item.request, "id: " + std::to_string(item.given) + "\ndata: " + text + "\n\n"});
+  if (last) worker.server->end({item.request, true});
+  item.due += event_pause;
+  return last;
 }
 
 void ModelWorkers::take(Worker& worker, const RequestArrived& request) {
@@ -149,7 +171,10 @@
   if (worker.running.size() >= slots + queue) return turn_away(503);
   // Those beyond the slots wait for a place, one run time for each turn.
   const auto turns = static_cast<Moment>(1 + worker.running.size() / slots);
-  worker.running.push_back({request.request, trial, monotonic_now() + turns * run_time});
+  const auto tokens = header_of(request, "x-tokens");
+  const bool streams = request.path.starts_with(stream_prefix);
+  const auto events = streams ? std::strtoull(tokens.substr(tokens.find(',') + 1).c_str(), nullptr, 10) : 0;
+  worker.running.push_back({request.request, trial, monotonic_now() + turns * run_time, events, 0});
 }
 
 void ModelWorkers::write_models(const Worker& worker, JsonText& text) const {
--- a/test/soak/modelworkers.hpp
+++ b/test/soak/modelworkers.hpp
@@ -26,6 +26,9 @@
   static std::string plant_text();
   static std::string model_name(std::size_t number) { return "model-" + std::to_string(number); }
   static constexpr std::size_t models = 30;
+  /// A stream has one event for each token that its request allows, so long after one another.
+  static constexpr Moment event_pause = 40;
+  static constexpr const char* stream_prefix = "/talk/";
   /// Adapters of model 0; the others have none.
   static constexpr std::size_t adapters = 40;
 
@@ -39,7 +42,11 @@
   struct Running {
     std::uint64_t request = 0;
     std::string trial;
-    Moment ends = 0;
+    /// When it ends, or gives its next event.
+    Moment due = 0;
+    /// Events of a stream, and those of them that were given; none: an answer in one piece.
+    std::uint64_t events = 0;
+    std::uint64_t given = 0;
   };
   struct Worker {
     std::string identity;
@@ -55,6 +62,8 @@
   void take_order(Worker& worker, const RequestArrived& request);
   int begin_order(Worker& worker, Order order, std::optional<std::uint64_t> expected);
   void take_run(Worker& worker, const RequestArrived& request);
+  /// Answers, or gives the next event; true with the last one.
+  static bool give(Worker& worker, Running& item);
   bool has_room(const Worker& worker, const Order& order) const;
   void end_order(Worker& worker) const;
   std::string report_text(const Worker& worker) const;
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -127,7 +127,7 @@
                             plan_.seed * 31 + place);
   const auto bytes = relay_.peer_bytes();
   troubles_.emplace(view_, relay_, ledger_, plan_.seed, plan_.workers + plan_.model_workers != 0);
-  if (plan_.model_workers != 0) model_callers_.emplace(view_, asker_, ledger_, plan_.seed * 17 + 3);
+  if (plan_.model_workers != 0) model_callers_.emplace(view_, asker_, ledger_, *troubles_, plan_.seed * 17 + 3);
   if (plan_.workers != 0) callers_.emplace(view_, asker_, ledger_, *troubles_, plan_.adopt_within, plan_.seed * 13 + 5);
   until([] { return false; }, plan_.trouble_length);
   troubles_->end();
