Large fleets: the view through relays, decisions by their cost, a queue that sheds in order

By its own counters of time by kind of event (new, in events.late and the metrics) half of it went to ticks: telling 293 data nodes the view twelve times a second, and decisions of some 75 ms each that wrote the whole plan anew. Ruled out: commits of the register (accepted and accept together 10 in 100), workers' answers (4 in 100). Change: one control process in each locality hands the view on and reads the platform's list when the holder is late; a decision is followed by four times its own time; the proposal's bytes are kept in pieces; waiting reports are replaced by newer ones and dropped after 2 s; reports on new waits at most 1,000 a second. Only fleets beyond 100 data nodes have relays. A test found that a relay which fell behind never took the answer to its own ask; mended here.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -112,7 +112,8 @@
   if (state.drains.empty() || owner.phase != OwnerPhase::holding || owner.proposal) return;
   const auto job = state.drains.front();
   state.drains.pop_front();
-  const auto& committed = state.options.dialect != nullptr ? state.placing.committed : state.steward.committed;
+  wire::Placement committed;
+  committed.ParseFromString(owner.value);
   const auto next = steward_drain(committed, owner.epoch, job.name, job.drained);
   register_propose(owner, state.member, state.formation.core, next.SerializeAsString(), now, effects);
   state.drain_under_way = job.asker;
@@ -137,6 +138,7 @@
 
 void on_tick(ControlState& state, const Ticked& event, Moment now, Effects& effects) {
   state.random = event.random;
+  state.tick_took = event.took;
   const auto known = news_known(state.news);
   if (now - state.member.last_tick > 2 * member_beat(state.member)) acceptor_woke(state.acceptor, now);
   member_tick(state.member, known, now, effects);
@@ -163,7 +165,10 @@
   give_drain(state, now, effects);
   control_give_core(state, now, effects);
   recover_tick(state.recover, control_recovery(state, now), effects);
-  if (state.options.dialect != nullptr) placing_tick(state.placing, control_placing(state, now), effects);
+  if (state.options.dialect != nullptr) {
+    placing_tick(state.placing, control_placing(state, now), effects);
+    relay_tick(state.relay, control_relay(state, now), effects);
+  }
   if (state.document) steward_tick(state.steward, steward_context(state, now), effects);
   depart(state, now, effects);
 }
@@ -181,7 +186,12 @@
 PlacingContext control_placing(ControlState& state, Moment now) {
   return {state.member,           state.formation.core,        state.paths ? &*state.paths : nullptr,
           state.document_version, state.owners[placement_key], state.numbers,
-          *state.options.dialect, state.options.limits,        now};
+          *state.options.dialect, state.options.limits,        now,
+          state.tick_took};
+}
+
+RelayContext control_relay(ControlState& state, Moment now) {
+  return {state.member, state.numbers, *state.options.dialect, state.options.limits, now};
 }
 
 void control_signal(ControlState& state, RegisterState& owner, RegisterSignal what, Moment now, Effects& effects) {
@@ -223,7 +233,9 @@
   if (std::holds_alternative<Leaving>(event)) on_leave(state, now, effects);
   if (const auto* observed = std::get_if<TransportObserved>(&event)) state.transport = observed->figures;
   steward_pipe(state.steward, event, now, effects);
-  if (state.options.dialect != nullptr) placing_pipe(state.placing, control_placing(state, now), event, effects);
+  if (state.options.dialect == nullptr) return;
+  placing_pipe(state.placing, control_placing(state, now), event, effects);
+  relay_pipe(state.relay, control_relay(state, now), event, effects);
 }
 
 }  // namespace
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -12,6 +12,7 @@
 #include "core/limits.hpp"
 #include "core/membership/contacts.hpp"
 #include "core/placement/placing.hpp"
+#include "core/placement/relay.hpp"
 #include "core/placement/steward.hpp"
 
 namespace weldsail {
@@ -75,6 +76,8 @@
   StewardState steward;
   /// Takes the steward's place where a dialect is set.
   PlacingState placing;
+  /// Hands the placement holder's view on, where this process isn't the holder itself.
+  RelayState relay;
   std::map<std::string, RegisterState> owners;
   std::optional<ConfigDocument> document;
   /// The same where the dialect describes routes by host and path.
@@ -88,6 +91,8 @@
   /// As the shell told it last.
   TransportFigures transport;
   std::uint64_t random = 0;
+  /// Milliseconds that the last tick took.
+  Moment tick_took = 0;
   Moment leave_due = 0;
 };
 
--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -212,7 +212,10 @@
     for (const auto& backlog : envelope.counter_report().backlogs())
       if (backlog.waiting() > 0) state.steward.next_decision = std::min(state.steward.next_decision, now);
   }
-  if (state.options.dialect != nullptr) placing_message(state.placing, control_placing(state, now), envelope, effects);
+  if (state.options.dialect != nullptr) {
+    placing_message(state.placing, control_placing(state, now), envelope, effects);
+    if (state.placing.term == 0) relay_message(state.relay, control_relay(state, now), envelope, effects);
+  }
   const auto key = envelope.has_promise()    ? envelope.promise().key()
                    : envelope.has_accepted() ? envelope.accepted().key()
                    : envelope.has_checked()  ? envelope.checked().key()
--- a/src/core/controlparts.hpp
+++ b/src/core/controlparts.hpp
@@ -27,6 +27,8 @@
 RecoverContext control_recovery(ControlState& state, Moment now);
 /// What the placing duty works on; only where a dialect is set.
 PlacingContext control_placing(ControlState& state, Moment now);
+/// What relaying works on; only where a dialect is set.
+RelayContext control_relay(ControlState& state, Moment now);
 /// Takes another process's message.
 void control_message(ControlState& state, const wire::Envelope& envelope, Moment now, Effects& effects);
 /// Tells the parts what has become of a key.
--- a/src/core/controlstart.cpp
+++ b/src/core/controlstart.cpp
@@ -25,6 +25,7 @@
   state.shortage.bound = state.recover.bound = state.duty.bound = state.repair.bound = state.vote.bound =
       state.news.bound = state.currency.bound = state.config_duty.bound = state.operate.bound = state.steward.bound =
           state.placing.bound = bound;
+  state.relay = make_relay(bound);
   bulk_configure(state.bulk, bound);
   state.vote.kept = options.claims_kept;
   if (options.dialect != nullptr) state.news.control_only = {placement_key};
--- a/src/core/controlview.cpp
+++ b/src/core/controlview.cpp
@@ -96,6 +96,8 @@
   text.number("in_hand", state.operate.forwarded.size());
   write_delivery(state.news, state.bulk, text);
   text.number("orders_sent", state.steward.orders.sent + state.placing.command.sent)
+      .truth("relay", state.relay.active)
+      .number("lists_read", state.relay.lists_read)
       .truth("leaving", state.departure.deadline.has_value())
       .close();
   return text.text();
--- a/src/core/data.hpp
+++ b/src/core/data.hpp
@@ -128,6 +128,8 @@
   /// As the shell told it last.
   TransportFigures transport;
   Moment next_report = 0;
+  /// Units that have begun to wait are told of no sooner than this.
+  Moment next_fresh_report = 0;
   /// Reports of counters and backlogs that were sent, to whomever.
   std::uint64_t reports_sent = 0;
   Moment leave_due = 0;
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -31,6 +31,8 @@
 /// The loop's alarm; carries randomness for the step.
 struct Ticked {
   std::uint64_t random;
+  /// Milliseconds that the step before this one took the thread.
+  Moment took = 0;
 };
 /// A message of another weldsail process.
 struct MessageArrived {
--- /dev/null
+++ b/src/core/eventqueue.hpp
@@ -0,0 +1,65 @@
+#pragma once
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "core/event.hpp"
+
+namespace weldsail {
+
+/// Events that wait for the one thread of a process. Urgent ones are taken first; the others wait for all of them, and
+/// are shed in a stated order when the thread lags:
+/// - a whole report of a data node takes the place of the one that still waits, unless that one has counters for a
+/// round;
+/// - a message that has waited for longer than `age_most` is dropped, as its sender tells it again;
+/// - beyond `waiting_most` events a further message is dropped.
+/// What a pipe tells is never dropped.
+class EventQueue {
+ public:
+  /// Milliseconds for which a message that isn't urgent may wait.
+  static constexpr Moment age_most = 2000;
+  /// Events that may wait; messages beyond are dropped.
+  static constexpr std::size_t waiting_most = 4096;
+
+  void put_urgent(Event event) { urgent_.push_back(std::move(event)); }
+  void put_later(Event event, Moment now);
+
+  bool has_urgent() const { return !urgent_.empty(); }
+  bool has_later() const { return !later_.empty(); }
+  Event take_urgent();
+  /// The next event that waited for the urgent ones; none when all that wait are too old.
+  std::optional<Event> take_later(Moment now);
+  /// Takes all urgent events, and none of the others.
+  std::deque<Event> take_all_urgent() { return std::exchange(urgent_, {}); }
+
+  std::size_t waiting() const { return urgent_.size() + later_.size(); }
+  std::size_t waiting_later() const { return later_.size(); }
+  /// Milliseconds for which the oldest of those that wait for the urgent ones has waited.
+  Moment waited(Moment now) const { return later_.empty() ? 0 : now - later_.front().since; }
+  /// Messages that were dropped, and reports that newer ones have replaced.
+  std::uint64_t dropped() const { return dropped_; }
+  std::uint64_t replaced() const { return replaced_; }
+
+ private:
+  struct Waiting {
+    /// When its place in the queue was taken, and when the event came that has it now.
+    Moment since;
+    Moment came;
+    Event event;
+  };
+
+  /// The whole report of the same data node that may be replaced; null where none waits.
+  Waiting* replaceable(const wire::Envelope& envelope);
+
+  std::deque<Event> urgent_;
+  std::deque<Waiting> later_;
+  /// Events that have been taken from `later_`, so that a place in it has a number that stays.
+  std::uint64_t taken_ = 0;
+  /// Number of the newest whole report of each data node; it may have been taken.
+  std::map<std::uint64_t, std::uint64_t> reports_;
+  std::uint64_t dropped_ = 0;
+  std::uint64_t replaced_ = 0;
+};
+
+}  // namespace weldsail
--- a/src/core/membership/member.hpp
+++ b/src/core/membership/member.hpp
@@ -16,11 +16,13 @@
 enum class Program : std::uint32_t { data = 1, control = 2 };
 
 /// Version of the messages that this build speaks.
-inline constexpr std::uint32_t wire_release = 3;
+inline constexpr std::uint32_t wire_release = 4;
 /// The first version that fetches large values in parts.
 inline constexpr std::uint32_t release_with_parts = 2;
 /// The first version that takes large messages in pieces.
 inline constexpr std::uint32_t release_with_pieces = 3;
+/// The first version whose control processes hand the view of the workers on.
+inline constexpr std::uint32_t release_with_relays = 4;
 
 /// What a process is told about its place.
 struct MemberOptions {
--- a/src/core/operations/commonmetrics.cpp
+++ b/src/core/operations/commonmetrics.cpp
@@ -45,6 +45,16 @@
   for (const auto& [name, counted] : by_name) text.sample(counted.bytes, {{"kind", name}});
 }
 
+void write_costs(MetricsText& text, const EventCosts& costs) {
+  text.counter("events_total", "Events that the process's one thread has taken, by kind.");
+  for (const auto& [kind, cost] : costs) text.sample(cost.events, {{"kind", kind}});
+  text.counter("event_microseconds_total", "Time of that thread that they took with their effects, in microseconds.");
+  for (const auto& [kind, cost] : costs) {
+    const auto spent = std::chrono::duration_cast<std::chrono::microseconds>(cost.time);
+    text.sample(static_cast<std::uint64_t>(spent.count()), {{"kind", kind}});
+  }
+}
+
 void write_fetches(MetricsText& text, const DeliveryState& delivery) {
   text.gauge("fetches_open", "Large values that are being fetched.").sample(delivery.fetches.size());
   text.gauge("fetch_received_bytes", "Bytes that have come of a value being fetched.");
@@ -104,8 +114,12 @@
   text.gauge("events_waiting", "Events that wait for the process's one thread.").sample(transport.waiting_events);
   text.gauge("events_waiting_seconds", "Time for which the oldest of them has waited.");
   text.seconds(static_cast<Moment>(transport.waiting_ms));
-  text.counter("events_dropped_total", "Messages that were dropped as too many events waited.");
+  text.counter("events_dropped_total", "Messages that were dropped as too many events waited, or they for too long.");
   text.sample(transport.events_dropped);
+  text.counter("reports_replaced_total",
+               "Reports that newer ones of the same data node replaced before they were taken.");
+  text.sample(transport.reports_replaced);
+  write_costs(text, transport.costs);
 }
 
 void write_delivery_metrics(MetricsText& text, const NewsState& news, std::uint64_t in_force, std::uint64_t revision,
--- a/src/core/operations/controlmetrics.cpp
+++ b/src/core/operations/controlmetrics.cpp
@@ -110,6 +110,15 @@
   text.gauge("list_age_seconds", "Age of the last whole list.").seconds(now - placing.list.asked);
 }
 
+/// What this process hands on to the data nodes of its locality.
+void write_relay(MetricsText& text, const RelayState& relay) {
+  text.gauge("relay_active", "1 while it tells the data nodes of its locality what the placement's holder knows.");
+  text.sample(relay.active ? 1 : 0);
+  text.counter("relay_views_total", "Views of the workers that it has told them.").sample(relay.handed_on);
+  text.counter("relay_lists_total", "Platform's lists that it has read for them, as the holder's word was late.");
+  text.sample(relay.lists_read);
+}
+
 /// The same where workers do one phase each.
 void write_steward(MetricsText& text, const StewardState& steward, Moment now) {
   const auto& orders = steward.orders;
@@ -138,10 +147,12 @@
   write_queues(text, state);
   text.counter("orders_sent_total", "Orders that were sent to workers.");
   text.sample(state.steward.orders.sent + state.placing.command.sent);
-  if (state.options.dialect != nullptr)
-    write_placing(text, state.placing, now);
-  else
+  if (state.options.dialect == nullptr) {
     write_steward(text, state.steward, now);
+    return text.text();
+  }
+  write_placing(text, state.placing, now);
+  write_relay(text, state.relay);
   return text.text();
 }
 
--- a/src/core/operations/report.cpp
+++ b/src/core/operations/report.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr Moment reports_per_bound = 3;
+/// Reports on what has begun to wait that all data nodes together send in a second.
+constexpr std::size_t fresh_reports_per_s = 1000;
+constexpr std::size_t milliseconds_per_s = 1000;
 constexpr Moment adapter_wanted_bounds = 20;
 /// Counters of what has left are kept for so many bounds after their last request.
 constexpr Moment counters_kept_bounds = 20;
@@ -82,8 +85,12 @@
   const auto* holder = duty_holder(state.member, placement_key);
   const bool fresh = !state.path.fresh.empty();
   if (now < state.next_report) {
-    if (fresh && state.path.fleet.partial_reports && holder != nullptr)
+    if (fresh && state.path.fleet.partial_reports && holder != nullptr) {
+      if (now < state.next_fresh_report) return;
+      const auto pause = path_nodes(state) * milliseconds_per_s / fresh_reports_per_s;
+      state.next_fresh_report = now + static_cast<Moment>(pause);
       return path_report_fresh(state, holder->node(), holder->address(), now, effects);
+    }
     if (!fresh) return;
   }
   state.next_report = now + state.options.member.bound / reports_per_bound;
--- a/src/core/placement/decide.cpp
+++ b/src/core/placement/decide.cpp
@@ -21,6 +21,7 @@
   state.draft = state.plan;
   state.draft.touched_units.clear();
   state.draft.touched_workers.clear();
+  state.text.clear();
   state.align_due = true;
 }
 
@@ -57,10 +58,9 @@
   if (!draft_differs(state.plan, state.draft)) return plan_follow(state.plan, state.draft);
   wire::Placement next;
   *next.mutable_drained() = state.committed.drained();
-  write_plan(state.draft, next);
   next.set_decision(state.committed.decision() + 1);
   next.set_term(state.term);
-  state.proposed = next.SerializeAsString();
+  state.proposed = state.text.write(state.draft, next);
   state.next = std::move(next);
   if (!register_propose(context.owner, context.member, context.core, state.proposed, context.now, effects))
     drop_draft(state);
--- a/src/core/placement/placing.cpp
+++ b/src/core/placement/placing.cpp
@@ -11,6 +11,8 @@
 constexpr Moment decisions_per_bound = 75;
 constexpr Moment waiting_decisions_per_bound = 30;
 constexpr Moment restless_decisions_per_bound = 6;
+/// Time between decisions is at least so many times as long as the last one took: the thread has other work, too.
+constexpr Moment pauses_per_decision = 4;
 constexpr Moment shows_per_bound = 60;
 constexpr Moment passes_per_bound = 3;
 constexpr Moment confirmed_part = 6;
@@ -30,6 +32,10 @@
 void adopt_value(PlacingState& state, const PlacingContext& context) {
   state.committed.ParseFromString(context.owner.value);
   state.draft = state.plan = read_plan(state.committed);
+  state.text.clear();
+  // The plans have all that it says of counts and workers.
+  state.committed.clear_counts();
+  state.committed.clear_plans();
   state.align_due = true;
   placing_touch_all(state);
 }
@@ -142,8 +148,11 @@
   const CommandContext command{*context.paths, context.dialect, context.limits, context.numbers, context.now};
   for (const auto& identity : command_tick(state.command, command, effects)) placing_touch(state, identity);
   state.unsettled |= demand_ready(state.demand, context.now);
-  if (!context.owner.proposal && context.now >= state.next_decision + decision_pace(state)) {
+  if (std::exchange(state.decided, false)) state.decision_took = context.tick_took;
+  const auto pause = std::max(decision_pace(state), pauses_per_decision * state.decision_took);
+  if (!context.owner.proposal && context.now >= state.next_decision + pause) {
     state.next_decision = context.now;
+    state.decided = true;
     state.unsettled = false;
     placing_decide(state, context, effects);
   }
--- a/src/core/placement/placing.hpp
+++ b/src/core/placement/placing.hpp
@@ -3,6 +3,7 @@
 #include "core/placement/counts.hpp"
 #include "core/placement/listing.hpp"
 #include "core/placement/overdue.hpp"
+#include "core/placement/plantext.hpp"
 #include "core/placement/view.hpp"
 #include "core/placement/wants.hpp"
 
@@ -14,12 +15,14 @@
   std::uint64_t term = 0;
   ListState list;
   FleetKeeper fleet;
+  /// The committed placement without counts and workers, which `plan` has.
   wire::Placement committed;
   /// The committed placement, read; orders and the view follow from it alone.
   HolderPlan plan;
   /// The same with what has been decided since, which is proposed as a whole.
   HolderPlan draft;
-  /// The proposal under way, and its bytes.
+  PlanText text;
+  /// The proposal under way, as `committed`, and all its bytes.
   wire::Placement next;
   std::string proposed;
   CommandState command;
@@ -30,6 +33,9 @@
   Moment next_pass = 0;
   Moment last_pass = 0;
   Moment next_decision = 0;
+  /// The last tick decided; how long its step took is what the next decision waits for.
+  bool decided = false;
+  Moment decision_took = 0;
   Moment next_show = 0;
   Moment next_fill = 0;
   /// Something has changed that a plan is made from.
@@ -62,6 +68,8 @@
   const Dialect& dialect;
   const Limits& limits;
   Moment now;
+  /// Milliseconds that the process's last tick took.
+  Moment tick_took = 0;
 };
 
 /// Begins a term on the value that was adopted.
--- a/src/core/placement/plan.cpp
+++ b/src/core/placement/plan.cpp
@@ -49,19 +49,24 @@
   return plan;
 }
 
+void write_plan_count(const wire::HolderCount& count, wire::Placement& placement) {
+  if (count.count() > 0 || count_unsettled(count)) *placement.add_counts() = count;
+}
+
+void write_plan_worker(const std::string& identity, const PlannedWorker& worker, wire::Placement& placement) {
+  auto* item = placement.add_plans();
+  item->set_identity(identity);
+  item->set_address(worker.address);
+  item->set_service(worker.service);
+  for (const auto& model : worker.models) item->add_models(model);
+  for (const auto& [model, adapter] : worker.adapters) item->add_adapters(model + "/" + adapter);
+}
+
 void write_plan(const HolderPlan& plan, wire::Placement& placement) {
   placement.clear_counts();
   placement.clear_plans();
-  for (const auto& [unit, count] : plan.counts)
-    if (count.count() > 0 || count_unsettled(count)) *placement.add_counts() = count;
-  for (const auto& [identity, worker] : plan.workers) {
-    auto* item = placement.add_plans();
-    item->set_identity(identity);
-    item->set_address(worker.address);
-    item->set_service(worker.service);
-    for (const auto& model : worker.models) item->add_models(model);
-    for (const auto& [model, adapter] : worker.adapters) item->add_adapters(model + "/" + adapter);
-  }
+  for (const auto& [unit, count] : plan.counts) write_plan_count(count, placement);
+  for (const auto& [identity, worker] : plan.workers) write_plan_worker(identity, worker, placement);
 }
 
 std::map<std::string, std::pair<std::string, std::string>> path_units(const PathConfig& paths) {
--- a/src/core/placement/plan.hpp
+++ b/src/core/placement/plan.hpp
@@ -111,6 +111,10 @@
 /// True while the last change of the count isn't over.
 bool count_unsettled(const wire::HolderCount& count);
 HolderPlan read_plan(const wire::Placement& placement);
+/// Adds a unit's count to a placement's, unless it rests at none.
+void write_plan_count(const wire::HolderCount& count, wire::Placement& placement);
+/// Adds what a worker is to hold.
+void write_plan_worker(const std::string& identity, const PlannedWorker& worker, wire::Placement& placement);
 /// Puts the plan in place of the one that the placement has; units of no count are left out, as `plan_align` adds them.
 void write_plan(const HolderPlan& plan, wire::Placement& placement);
 /// Units of a configuration's models, as service and model.
--- a/src/core/placement/view.cpp
+++ b/src/core/placement/view.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/placement/relays.hpp"
+
 namespace weldsail {
 namespace {
 
@@ -37,9 +39,11 @@
   return view;
 }
 
-void send(const MemberState& member, const wire::Member& target, const wire::FleetView& view, Effects& effects) {
+void send(const MemberState& member, const wire::Member& target, const wire::FleetView& view, bool to_relay,
+          Effects& effects) {
   auto envelope = member_envelope(member, target.node());
   *envelope.mutable_fleet() = view;
+  if (to_relay) envelope.mutable_fleet()->set_to_relay(true);
   effects.push_back(SendMessage{target.address(), std::move(envelope)});
 }
 
@@ -47,12 +51,15 @@
           Effects& effects) {
   std::map<std::uint64_t, std::uint64_t> told;
   std::optional<wire::FleetView> whole;
-  for (const auto* target : live_members(member, Program::data)) {
-    const auto found = keeper.told.find(target->node());
+  Relays relays(member);
+  for (const auto* node : live_members(member, Program::data)) {
+    const auto* relay = relays.of(node->locality());
+    const auto& target = relay != nullptr ? *relay : *node;
+    if (!told.emplace(target.node(), keeper.version).second) continue;
+    const auto found = keeper.told.find(target.node());
     const bool follows = found != keeper.told.end() && found->second == base;
     if (!follows && !whole) whole = whole_view(keeper, member, now);
-    send(member, *target, follows ? news : *whole, effects);
-    told[target->node()] = keeper.version;
+    send(member, target, follows ? news : *whole, relay != nullptr, effects);
   }
   keeper.told = std::move(told);
   keeper.next_beat = now + keeper.bound / beats_per_bound;
@@ -153,6 +160,9 @@
 }
 
 bool fleet_take(FleetKnown& known, const wire::FleetView& view, Moment now) {
+  if (view.listed())
+    return fleet_take_list(known, {view.workers().begin(), view.workers().end()},
+                           now - static_cast<Moment>(view.age_ms()));
   const std::pair told{view.term(), view.version()};
   const std::pair here{known.term, known.version};
   const auto as_of = now - static_cast<Moment>(view.age_ms());
@@ -196,9 +206,14 @@
 
 void fleet_ask(FleetKnown& known, const MemberState& member, Moment now, Effects& effects) {
   if ((known.known && !known.behind) || now < known.next_ask) return;
-  const auto* holder = duty_holder(member, placement_key);
+  Relays relays(member);
+  const auto* holder = relays.holder();
   if (holder == nullptr) return;
-  // An answer may be under way still, and it is large: the same holder is asked again after ever longer pauses.
+  const auto* relay =
+      member.self.program() == static_cast<std::uint32_t>(Program::data) ? relays.of(member.self.locality()) : nullptr;
+  // A relay that doesn't answer is passed over for once.
+  if (relay != nullptr && known.asked != relay->node()) holder = relay;
+  // An answer may be under way still, and it is large: the same process is asked again after ever longer pauses.
   const auto first_pause = known.bound / asks_per_bound;
   known.ask_pause = known.asked == holder->node() ? std::min(2 * known.ask_pause, known.bound) : first_pause;
   known.asked = holder->node();
--- a/src/core/traffic.hpp
+++ b/src/core/traffic.hpp
@@ -2,6 +2,8 @@
 #include <cstdint>
 #include <map>
 
+#include "core/eventcost.hpp"
+
 namespace weldsail {
 
 /// Messages of one kind that went one way.
@@ -31,6 +33,10 @@
   std::uint64_t waiting_ms = 0;
   /// Messages that were dropped as too many events waited.
   std::uint64_t events_dropped = 0;
+  /// Reports of data nodes that newer ones replaced before they were taken.
+  std::uint64_t reports_replaced = 0;
+  /// Time of the process's thread by kind of event; reading and writing connections are `read` and `write`.
+  EventCosts costs;
 };
 
 /// Counts one message.
--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -6,6 +6,7 @@
 
 #include "core/control.hpp"
 #include "core/data.hpp"
+#include "core/eventkind.hpp"
 #include "core/json.hpp"
 
 namespace weldsail {
@@ -21,8 +22,10 @@
 /// Events that have waited for longer than this are told to the log, at this pace.
 constexpr Moment late_events = 1000;
 constexpr Moment late_notes_pace = 5000;
-/// Events that may wait; messages beyond are dropped.
-constexpr std::size_t later_most = 4096;
+/// Kinds of event whose cost a note of late events names.
+constexpr std::size_t kinds_noted = 8;
+constexpr std::string_view read_kind = "read";
+constexpr std::string_view write_kind = "write";
 
 /// A data-plane process takes everything in the order in which it came.
 bool may_wait(const DataState&, const Event&) { return false; }
@@ -93,10 +96,13 @@
 void Node<State>::run() {
   while (!departed_) {
     take_turn();
-    messenger_.flush();
-    loop_.settle();
+    {
+      const Stopwatch watch(costs_, write_kind);
+      messenger_.flush();
+      loop_.settle();
+    }
     const int pause = beat();
-    if (events_.empty()) loop_.step(later_.empty() ? pause : 0);
+    if (!queue_.has_urgent()) step(queue_.has_later() ? 0 : pause);
   }
   messenger_.flush();
   callers_.close();
@@ -105,6 +111,13 @@
   log_note({"process.end", {}, false});
 }
 
+template <typename State>
+void Node<State>::step(int milliseconds) {
+  if (milliseconds > 0) return loop_.step(milliseconds);
+  const Stopwatch watch(costs_, read_kind);
+  loop_.step(0);
+}
+
 template <typename State>
 void Node<State>::write_out() {
   callers_.close_after_answers();
@@ -114,7 +127,7 @@
   for (auto now = begun; now < begun + farewell || (busy() && now < begun + write_time_); now = monotonic_now()) {
     loop_.step(write_pause);
     // Who still asks on an open pipe hears that nothing was run, and that the pipe ends.
-    for (const auto& event : std::exchange(events_, {}))
+    for (const auto& event : queue_.take_all_urgent())
       if (const auto* request = std::get_if<RequestArrived>(&event))
         callers_.answer(departed_answer(state_, request->request));
   }
@@ -122,32 +135,20 @@
 
 template <typename State>
 void Node<State>::put(Event event) {
-  if (!may_wait(state_, event)) return events_.push_back(std::move(event));
-  // A message may be lost; what a pipe tells may not.
-  if (later_.size() >= later_most && std::holds_alternative<MessageArrived>(event)) {
-    ++dropped_;
-    return;
-  }
-  later_.push_back({monotonic_now(), std::move(event)});
+  if (may_wait(state_, event))
+    queue_.put_later(std::move(event), monotonic_now());
+  else
+    queue_.put_urgent(std::move(event));
 }
 
 template <typename State>
 void Node<State>::take_turn() {
-  const auto take_urgent = [this] {
-    const auto event = std::move(events_.front());
-    events_.pop_front();
-    take(event);
-  };
-  const auto take_later = [this] {
-    const auto event = std::move(later_.front().event);
-    later_.pop_front();
-    take(event);
-  };
   const auto until = monotonic_now() + turn_most;
   do {
-    while (!departed_ && !events_.empty()) take_urgent();
-    if (!departed_ && !later_.empty()) take_later();
-  } while (!departed_ && (!events_.empty() || (!later_.empty() && monotonic_now() < until)));
+    while (!departed_ && queue_.has_urgent()) take(queue_.take_urgent());
+    if (departed_ || !queue_.has_later()) continue;
+    if (const auto event = queue_.take_later(monotonic_now())) take(*event);
+  } while (!departed_ && (queue_.has_urgent() || (queue_.has_later() && monotonic_now() < until)));
 }
 
 template <typename State>
@@ -159,24 +160,22 @@
   messenger_.sweep(now);
   callers_.sweep(now);
   note_late(now);
-  put(Ticked{random_number()});
+  put(Ticked{random_number(), tick_took_});
   return 0;
 }
 
-template <typename State>
-Moment Node<State>::waited(Moment now) const {
-  return later_.empty() ? 0 : now - later_.front().since;
-}
-
 template <typename State>
 void Node<State>::note_late(Moment now) {
-  const auto age = waited(now);
+  const auto age = queue_.waited(now);
   if (age < late_events || now < next_late_note_) return;
   next_late_note_ = now + late_notes_pace;
+  const auto costs = costs_since(std::exchange(costs_noted_, costs_), costs_);
   log_note({"events.late",
             {{"waited_ms", std::to_string(age)},
-             {"waiting", std::to_string(later_.size())},
-             {"dropped", std::to_string(dropped_)}},
+             {"waiting", std::to_string(queue_.waiting_later())},
+             {"dropped", std::to_string(queue_.dropped())},
+             {"replaced", std::to_string(queue_.replaced())},
+             {"costs", costs_text(costs, kinds_noted)}},
             true});
 }
 
@@ -184,8 +183,11 @@
 void Node<State>::take(const Event& event) {
   const auto* request = std::get_if<RequestArrived>(&event);
   if (request != nullptr && request->path == metrics_path) reduce(state_, observe(), monotonic_now());
-  auto effects = reduce(state_, event, monotonic_now());
+  const auto begun = monotonic_now();
+  const Stopwatch watch(costs_, event_kind(event));
+  auto effects = reduce(state_, event, begun);
   for (auto& effect : effects) carry_out(effect);
+  if (std::holds_alternative<Ticked>(event)) tick_took_ = monotonic_now() - begun;
 }
 
 template <typename State>
@@ -193,9 +195,11 @@
   TransportObserved observed;
   messenger_.observe(observed.figures);
   observed.figures.caller_connections = callers_.open_pipes();
-  observed.figures.waiting_events = events_.size() + later_.size();
-  observed.figures.waiting_ms = static_cast<std::uint64_t>(waited(monotonic_now()));
-  observed.figures.events_dropped = dropped_;
+  observed.figures.waiting_events = queue_.waiting();
+  observed.figures.waiting_ms = static_cast<std::uint64_t>(queue_.waited(monotonic_now()));
+  observed.figures.events_dropped = queue_.dropped();
+  observed.figures.reports_replaced = queue_.replaced();
+  observed.figures.costs = costs_;
   return observed;
 }
 
--- a/src/shell/node.hpp
+++ b/src/shell/node.hpp
@@ -1,12 +1,13 @@
 #pragma once
-#include <deque>
 #include <optional>
 
+#include "core/eventqueue.hpp"
 #include "shell/client.hpp"
 #include "shell/disk.hpp"
 #include "shell/log.hpp"
 #include "shell/messenger.hpp"
 #include "shell/server.hpp"
+#include "shell/stopwatch.hpp"
 
 namespace weldsail {
 
@@ -39,8 +40,8 @@
   /// Takes all urgent events, then others for a bounded time.
   void take_turn();
   void take(const Event& event);
-  /// Milliseconds for which the oldest event has waited.
-  Moment waited(Moment now) const;
+  /// Looks at the connections, waiting at most so long.
+  void step(int milliseconds);
   /// Tells the log when events wait for too long: this process is short of processor time.
   void note_late(Moment now);
   /// Tells the program what only the shell counts.
@@ -61,16 +62,14 @@
   Client client_;
   std::optional<Disk> disk_;
   Interrupts interrupts_;
-  std::deque<Event> events_;
-  /// An event that may wait for all others, and since when it does.
-  struct Waiting {
-    Moment since;
-    Event event;
-  };
-  std::deque<Waiting> later_;
-  std::uint64_t dropped_ = 0;
+  EventQueue queue_;
+  EventCosts costs_;
+  /// As they were when late events were last told.
+  EventCosts costs_noted_;
   Moment next_late_note_ = 0;
   Moment next_tick_ = 0;
+  /// Milliseconds that the last tick took.
+  Moment tick_took_ = 0;
   bool departed_ = false;
   /// Longest time for that.
   Moment write_time_ = 0;
--- a/test/sim/world.cpp
+++ b/test/sim/world.cpp
@@ -108,7 +108,7 @@
 void World::tick_node(const std::string& address, std::uint64_t life) {
   auto& node = nodes_.at(address);
   if (!node.alive || node.life != life) return;
-  if (!node.frozen) step(node, Ticked{chance.number()});
+  if (!node.frozen) step(node, Ticked{chance.number(), node.tick_took});
   at(now_ + tick, [this, address, life] { tick_node(address, life); });
 }
 
--- a/test/sim/world.hpp
+++ b/test/sim/world.hpp
@@ -65,6 +65,8 @@
   Moment sync_most = 4;
   Moment disk_free_at = 0;
   Moment woken = 0;
+  /// Milliseconds that the node is told its last tick took.
+  Moment tick_took = 0;
   Records disk;
   std::vector<std::pair<std::uint64_t, std::vector<std::pair<std::string, std::string>>>> unsynced;
   std::vector<Event> inbox;
--- a/test/unit/reportorder.cpp
+++ b/test/unit/reportorder.cpp
@@ -80,3 +80,39 @@
     numbers.push_back(std::get<SendMessage>(effect).envelope.counter_report().number());
   CHECK(numbers == std::vector<std::uint64_t>{1, 2, 3, 4});
 }
+
+TEST_CASE("data nodes together tell of what begins to wait at a bounded rate, however many they are", "[placing]") {
+  const auto sent_by_one_of = [](std::size_t nodes) {
+    auto state = make_data({});
+    wire::Member holder;
+    holder.set_node(1);
+    holder.set_address("c1");
+    holder.set_state(static_cast<std::uint32_t>(MemberPhase::alive));
+    holder.set_program(static_cast<std::uint32_t>(Program::control));
+    holder.add_holdings()->set_key(placement_key);
+    holder.mutable_holdings(0)->set_epoch(1);
+    state.member.others[1] = {holder, 0, 0};
+    state.member.self.set_program(static_cast<std::uint32_t>(Program::data));
+    for (std::uint64_t node = 2; node <= nodes; ++node) {
+      wire::Member data = state.member.self;
+      data.set_node(node);
+      data.set_state(static_cast<std::uint32_t>(MemberPhase::alive));
+      state.member.others[node] = {data, 0, 0};
+    }
+    state.path.fleet.partial_reports = true;
+    constexpr Moment begin = 100000;
+    constexpr Moment length = 10000;
+    state.next_report = begin + 2 * length;
+    Effects effects;
+    for (auto now = begin; now < begin + length; now += 25) {
+      state.path.fresh.insert("s/m");
+      report_tick(state, now, effects);
+    }
+    for (const auto& effect : effects) CHECK(std::get<SendMessage>(effect).envelope.counter_report().partial());
+    return effects.size();
+  };
+  CHECK(sent_by_one_of(20) == 400);
+  const auto of_many = sent_by_one_of(300);
+  CHECK(of_many * 300 <= (1000 + 300) * 10);
+  CHECK(of_many > 20);
+}
