--- a/test/unit/relay.cpp
+++ b/test/unit/relay.cpp
@@ -73,8 +73,7 @@
   /// Carries messages to the relay and to the data nodes until none is under way; counts those that the holder sent.
   void carry(Effects effects, std::uint64_t from, Moment now) {
     while (!effects.empty()) {
-      const auto message = std::get_if<SendMessage>(&effects.front());
-      if (message != nullptr) {
+      if (const auto message = std::get_if<SendMessage>(&effects.front())) {
         auto envelope = message->envelope;
         envelope.set_from(from);
         sent[from] += 1;
