--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -3,19 +3,14 @@
 #include <random>
 
 #include "../common/engine.hpp"
+#include "fleet.hpp"
+#include "judge.hpp"
 
 using namespace standins;
 
 namespace {
 
 constexpr int fronts = 3;
-constexpr std::int64_t second = 1000;
-
-double env_or(const char* name, double fallback) {
-  const char* value = std::getenv(name);
-  return value == nullptr ? fallback : std::atof(value);
-}
-
 struct Front {
   std::string host;
   Process* process = nullptr;
@@ -24,17 +19,6 @@
   bool in = false;
 };
 
-/// What is known of one request.
-struct Try {
-  std::int64_t sent = 0;
-  int front = 0;
-  std::int64_t term = -1;
-  std::int64_t ended = 0;
-  int status = 0;
-  bool whole = false;
-  std::string at_worker;
-};
-
 class Case {
  public:
   explicit Case(Record& record) : record_(record) {}
@@ -43,12 +27,10 @@
  private:
   void workers();
   void deployment();
-  std::string document() const;
   std::string busy_model(double luck);
   void platform_turn();
   int pick_front(int client);
   void call(int client, std::uint64_t seed);
-  int judge();
 
   Record& record_;
   Deployment deployment_;
@@ -61,8 +43,8 @@
   std::int64_t roll_at_ = 0;
   const double rate_ = env_or("RATE", 36);
   const double shift_s_ = env_or("SHIFT_S", 5.1);
+  const double spare_ = env_or("SPARE", 0.25);
   std::atomic<int> open_{0};
-  std::atomic<std::uint64_t> next_{1};
 };
 
 void Case::workers() {
@@ -87,21 +69,6 @@
   }
 }
 
-std::string Case::document() const {
-  std::string models;
-  for (const char* name : {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n"})
-    models += (models.empty() ? "" : ",") + std::string(R"({"label":")") + name +
-              R"(","weights_mb":72700.0,"load_s":2.1,"adapters":0,"adapter_mb":66.0})";
-  return R"({"revision":1,"route_table":[{"label":"r-chat","host":"lm.example","path_prefix":"/chat/","mode":"stream",)"
-         R"("deadline_ms":12000,"setpoint_ms":400,"precedence":1,"plant":"lm","trials":2,"pinned":true,"continue":true,)"
-         R"("gap_setpoint_ms":300}],"plants":[{"label":"lm","probe":"/probe","conn_limit":370,"protocol":"h1",)"
-         R"("tls":false,"runtime":{"capacity":64,"cache_tokens":157145,"cache_token_bytes":163840,)"
-         R"("link_mbps":1100000.0,"stride":6,"models":[)" +
-         models +
-         R"(],"weights_mb":220000.0,"adapter_capacity":8,"loads_per_s":4.2}}],"constraints":{"header_bytes":16384,)"
-         R"("body_bytes":4194304,"header_ms":3000,"idle_ms":15000}})";
-}
-
 void Case::deployment() {
   deployment_.ports = free_ports(10);
   deployment_.seeds = {"127.0.71.1", "127.0.71.2", "127.0.71.3"};
@@ -160,6 +127,8 @@
   std::lognormal_distribution<double> lengths(3.66, 0.6);
   const auto prompt = static_cast<int>(std::clamp(prompts(luck), 40.0, 3310.0));
   const auto events = static_cast<int>(std::clamp(lengths(luck), 2.0, 159.0));
+  // Most answers end before the most that their request allows.
+  const auto most = std::min(954, static_cast<int>(events * 6 * (1 + spare_ * part(luck))));
   for (int turn = 0; turn < 2; ++turn) {
     char trial[32];
     snprintf(trial, sizeof(trial), "%016llx", static_cast<unsigned long long>(seed * 0x9e3779b97f4a7c15ULL + turn));
@@ -173,7 +142,7 @@
     const std::string body(1700, 'p');
     const auto text = "POST /chat/1 HTTP/1.1\r\nHost: lm.example\r\nX-Trial-Id: " + std::string(trial) +
                       "\r\nX-Model: " + model + "\r\nX-Tokens: " + std::to_string(prompt) + "," +
-                      std::to_string(events * 6) + "\r\nX-Prompt-Prefix: " + std::string(trial) + ":" +
+                      std::to_string(most) + "\r\nX-Made-Tokens: " + std::to_string(events * 6) + "\r\nX-Prompt-Prefix: " + std::string(trial) + ":" +
                       std::to_string(prompt) + "\r\nX-Deadline-Ms: 12000\r\ncontent-length: 1700\r\n\r\n" + body;
     Try made;
     std::string buffer;
@@ -196,8 +165,8 @@
       own.ended = ended;
       own.status = answer.status();
       own.whole = whole;
-      record_.line("%s model %s %d,%d front-%d%s: sent %lld, %d %s after %lld ms; worker: %s", trial, model.c_str(), prompt,
-                   events * 6, front + 1, own.term >= 0 ? " (told to end)" : "", static_cast<long long>(own.sent),
+      record_.line("%s model %s %d,%d of %d front-%d%s: sent %lld, %d %s after %lld ms; worker: %s", trial, model.c_str(), prompt,
+                   events * 6, most, front + 1, own.term >= 0 ? " (told to end)" : "", static_cast<long long>(own.sent),
                    own.status, whole ? "whole" : "CUT", static_cast<long long>(ended - own.sent), own.at_worker.c_str());
     }
     if (answer.status() != 503 || !whole) return;
@@ -205,43 +174,12 @@
   }
 }
 
-int Case::judge() {
-  const std::lock_guard guard(lock_);
-  int lost = 0, excused = 0, whole = 0, refused = 0, late_taken = 0;
-  for (const auto& [trial, item] : tries_) {
-    if (item.sent == 0) continue;
-    if (item.whole && item.status == 200) ++whole;
-    if (item.whole && item.status == 503) ++refused;
-    if (item.term >= 0 && item.sent > item.term + 3000 && item.status == 200) ++late_taken;
-    if (item.whole || item.at_worker.empty()) continue;
-    const bool broke_off = item.at_worker.find("past its deadline") != std::string::npos;
-    const bool planned = item.term >= 0 && item.ended <= item.term + 9 * second;
-    const bool due = item.ended >= item.sent + 12 * second;
-    if (broke_off || due || !planned) continue;
-    // The worker is still at work when the machine cuts the answer; that excuses requests sent until 3 s after SIGTERM.
-    const bool in_last_sixth = item.ended >= item.term + 8 * second * 5 / 6;
-    if (in_last_sixth && item.sent <= item.term + 3 * second) {
-      ++excused;
-      continue;
-    }
-    ++lost;
-    record_.line("LOST %s: sent %lld ms after SIGTERM, cut %lld ms after it", trial.c_str(),
-                 static_cast<long long>(item.sent - item.term), static_cast<long long>(item.ended - item.term));
-  }
-  record_.line("%d whole, %d refused, %d taken later than 3 s after SIGTERM, %d cut with excuse, %d lost", whole, refused,
-               late_taken, excused, lost);
-  printf("%d whole, %d refused, %d taken later than 3 s after SIGTERM, %d cut with excuse, %d lost\n", whole, refused,
-         late_taken, excused, lost);
-  if (whole < 100) return 2;
-  return lost > 0 ? 1 : 0;
-}
-
 int Case::run() {
   deployment_.folder = std::filesystem::temp_directory_path() / ("review-lost-" + std::to_string(getpid()));
   std::filesystem::create_directories(deployment_.folder);
   deployment();
   if (deployment_.ports == 0 ||
-      !put_first({deployment_.at("127.0.71.1", 2), deployment_.at("127.0.71.2", 2)}, document(), 15000))
+      !put_first({deployment_.at("127.0.71.1", 2), deployment_.at("127.0.71.2", 2)}, model_document(), 15000))
     return 2;
   for (int turn = 0; turn < 50 && !ready(deployment_.at(fronts_[2].host, 4)); ++turn) pause_ms(200);
   std::atomic<bool> stop{false};
@@ -290,7 +228,8 @@
   while (open_ > 0 && now_ms() < traffic + length + 15 * second) pause_ms(50);
   stop = true;
   platform.join();
-  const auto result = judge();
+  const std::lock_guard guard(lock_);
+  const auto result = judge(tries_, record_);
   deployment_.end_all();
   std::error_code ignored;
   if (std::getenv("KEEP") == nullptr) std::filesystem::remove_all(deployment_.folder, ignored);
--- a/review/common/engine.hpp
+++ b/review/common/engine.hpp
@@ -5,7 +5,7 @@
 #include <condition_variable>
 #include <deque>
 
-#include "standins.hpp"
+#include "workerorders.hpp"
 
 namespace standins {
 
@@ -22,9 +22,6 @@
   double prompt_tokens_per_ms = 38.1;
   double chunk_tokens = 2048;
   int tokens_per_event = 6;
-  double load_ms = 2100;
-  double room_mb = 220000;
-  double model_mb = 72700;
   Record* record = nullptr;
   std::function<void(const std::string& trial, const char* what)> seen;
 
@@ -35,20 +32,20 @@
   const std::string& address() const { return server_.address(); }
   void hold(const std::string& model) {
     const std::lock_guard guard(lock_);
-    held_.insert(model);
+    orders_.hold(model);
   }
   std::string list_entry() {
     const std::lock_guard guard(lock_);
-    finish_order();
+    orders_.finish_order();
     return R"({"plant":")" + plant + R"(","address":")" + address() + R"(","zone":")" + zone +
            R"(","revision":"v1","capacity":)" + std::to_string(slots) +
-           R"(,"condition":"ready","warmup_ms":0,"phase":"both","models":)" + models_text() + R"(,"ident":")" + ident +
+           R"(,"condition":"ready","warmup_ms":0,"phase":"both","models":)" + orders_.models_text() + R"(,"ident":")" + ident +
            R"("})";
   }
   std::string standing() {
     const std::lock_guard guard(lock_);
     std::string models;
-    for (const auto& model : held_) models += " " + model;
+    for (const auto& model : orders_.held()) models += " " + model;
     return ident + " runs " + std::to_string(running_.size()) + " waits " + std::to_string(queue_.size()) + " step " +
            std::to_string(last_step_ms_) + " ms holds" + models;
   }
@@ -70,52 +67,6 @@
   };
   using JobPointer = std::shared_ptr<Job>;
 
-  std::string models_text() const {
-    std::string text = "[";
-    for (const auto& model : held_)
-      text += (text.size() > 1 ? ",{" : "{") + std::string(R"("label":")") + model + R"(","revision":1,"adapters":[]})";
-    return text + "]";
-  }
-
-  void finish_order() {
-    if (order_model_.empty() || now_ms() < order_done_) return;
-    if (order_load_)
-      held_.insert(order_model_);
-    else
-      held_.erase(order_model_);
-    order_model_.clear();
-  }
-
-  int order(const std::string& body) {
-    finish_order();
-    const auto text = [&](const char* name) {
-      const auto mark = "\"" + std::string(name) + "\":\"";
-      const auto place = body.find(mark);
-      if (place == std::string::npos) return std::string();
-      const auto begin = place + mark.size();
-      return body.substr(begin, body.find('"', begin) - begin);
-    };
-    const auto number = [&](const char* name) -> std::optional<std::uint64_t> {
-      const auto mark = "\"" + std::string(name) + "\":";
-      const auto place = body.find(mark);
-      if (place == std::string::npos) return std::nullopt;
-      return std::strtoull(body.c_str() + place + mark.size(), nullptr, 10);
-    };
-    const auto model = text("model");
-    const auto fence = number("fence");
-    if (model.empty() || text("holder").empty() || !fence || !text("adapter").empty()) return 400;
-    if (*fence < fence_) return 412;
-    fence_ = *fence;
-    if (!order_model_.empty() || number("expected").value_or(sequence_) != sequence_) return 409;
-    const bool load = text("operation") == "load";
-    if (held_.contains(model) == load) return 200;
-    ++sequence_;
-    order_model_ = model;
-    order_load_ = load;
-    order_done_ = now_ms() + static_cast<std::int64_t>(load ? load_ms : 20);
-    return 202;
-  }
-
   bool take(int socket, Message& request) {
     const auto unit = request.header("x-expect-unit");
     const auto echo = "X-Trial-Id: " + request.header("x-trial-id") + "\r\n";
@@ -126,9 +77,9 @@
       std::string text;
       {
         const std::lock_guard guard(lock_);
-        finish_order();
-        text = R"({"phase":"both","models":)" + models_text() + R"(,"saturated":)" +
-               (order_model_.empty() ? "false" : "true") + R"(,"sequence":)" + std::to_string(sequence_) +
+        orders_.finish_order();
+        text = R"({"phase":"both","models":)" + orders_.models_text() + R"(,"saturated":)" +
+               (orders_.busy() ? "true" : "false") + R"(,"sequence":)" + std::to_string(orders_.sequence()) +
                R"(,"queued":)" + std::to_string(queue_.size()) + R"(,"active":)" + std::to_string(running_.size()) +
                R"(,"cache_used":0,"cache_total":157145,"handles":0})";
       }
@@ -138,7 +89,7 @@
       int status = 0;
       {
         const std::lock_guard guard(lock_);
-        status = order(request.body);
+        status = orders_.order(request.body);
       }
       if (record != nullptr) record->line("order at %s: %s -> %d", ident.c_str(), request.body.c_str(), status);
       return reply(socket, status, "", "");
@@ -155,6 +106,8 @@
     job->prompt_left = std::atof(tokens.c_str());
     const auto comma = tokens.find(',');
     job->tokens = comma == std::string::npos ? 0 : std::atoi(tokens.c_str() + comma + 1);
+    // The callers tell how long the answer is; a model would find out.
+    if (const auto made = request.header("x-made-tokens"); !made.empty()) job->tokens = std::atoi(made.c_str());
     if (const auto last = request.header("last-event-id"); !last.empty()) {
       job->first_event = std::atoi(last.c_str()) + 1;
       job->prompt_left += job->first_event * tokens_per_event;
@@ -163,8 +116,8 @@
     if (const auto rank = request.header("x-precedence"); !rank.empty()) job->precedence = std::atoi(rank.c_str());
     if (const auto wait = request.header("x-deadline-ms"); !wait.empty()) job->due = now_ms() + std::atoi(wait.c_str());
     std::unique_lock guard(lock_);
-    finish_order();
-    if (!held_.contains(job->model) || (order_model_ == job->model && !order_load_)) {
+    orders_.finish_order();
+    if (!orders_.serves(job->model)) {
       guard.unlock();
       return reply(socket, 421, "X-Not-Run: 1\r\n" + echo, "");
     }
@@ -270,14 +223,9 @@
   std::mutex lock_;
   std::condition_variable changed_;
   std::condition_variable ended_;
-  std::set<std::string> held_;
+  WorkerOrders orders_;
   std::deque<JobPointer> queue_;
   std::vector<JobPointer> running_;
-  std::string order_model_;
-  bool order_load_ = false;
-  std::int64_t order_done_ = 0;
-  std::uint64_t sequence_ = 0;
-  std::uint64_t fence_ = 0;
   double last_step_ms_ = 0;
 };
 
