--- a/review/trials/gen.py
+++ b/review/trials/gen.py
@@ -40,3 +40,16 @@
 day("u02-roll-shift-gap13",60,[F(5,"roll_term",share=0.45,x=1.0,gap_s=1.0,how="busy"),F(20,"roll_term",share=0.45,x=1.0,gap_s=1.0,how="busy"),F(35,"roll_term",share=0.45,x=1.0,gap_s=1.0,how="busy")]+ms(4,7,10,19,22,25,34,37,40),[])
 day("u03-roll-release",60,[F(4,"roll_term",share=1.0,x=1.0,gap_s=1.0),F(3,"release",share=0.12,x=1.0,gap_s=1.0,service=LM),F(28,"roll_term",share=1.0,x=1.0,gap_s=1.0,how="busy"),F(27,"release",share=0.12,x=1.0,gap_s=1.0,service=LM)]+ms(3,9,27,33),[])
 day("u04-roll-burst",60,[F(4,"roll_term",share=1.0,x=1.0,gap_s=1.0),F(28,"roll_term",share=1.0,x=1.0,gap_s=1.0,how="busy")]+ms(3,9,27,33),[F(6,"burst",**{"class":"host-menu-note"},x=2.4,for_s=4.5),F(30,"burst",**{"class":"host-menu-note"},x=2.4,for_s=4.5)])
+idle=lambda t0,n,g: [F(round(t0+i*g,2),"config_change",how="idle") for i in range(n)]
+day("v01-series",34,[F(3.0,"roll_term",share=1.0,x=1.0,gap_s=2.0)]+idle(2.9,18,0.9),[])
+day("v02-incident",34,[F(2.8,"big_config",count=250),F(3.0,"roll_term",share=1.0,x=1.0,gap_s=2.0)]+idle(4.2,20,0.9),[])
+day("v03-twice",44,[F(3.0,"roll_term",share=1.0,x=1.0,gap_s=1.0),F(20.0,"roll_term",share=1.0,x=1.0,gap_s=1.0,how="busy")]+idle(2.9,30,0.9),[])
+day("v04-shift",44,[F(3.0,"roll_term",share=1.0,x=1.0,gap_s=1.0),F(22.0,"roll_term",share=1.0,x=1.0,gap_s=1.0)]+idle(3.1,26,0.9)+ms(2,8,14,20,26),[])
+si=lambda *ts: [F(t,"scale_in",service=LM,share=0.14) for t in ts]
+day("w01-scalein-roll",50,si(2,4,6,8,10)+[F(14.0,"roll_term",share=1.0,x=1.0,gap_s=1.0)]+idle(13.9,18,0.9)+ms(12,16,20),[])
+day("w02-scalein-roll",50,si(2,3,4,5,6,7,8)+[F(13.0,"roll_term",share=1.0,x=1.0,gap_s=1.0)]+idle(12.9,18,0.9)+ms(13,16,19),[])
+day("w03-scalein-roll2",50,si(2,5,8)+[F(10.0,"roll_term",share=1.0,x=1.0,gap_s=1.0)]+idle(9.9,14,0.9)+si(12,14)+ms(9,13),[])
+rv=lambda *ts: [F(t,"roll_term",zone="vake",share=0.67,x=1.0,gap_s=1.0) for t in ts]
+day("w04-vake",70,si(2,4,6,8,10)+rv(14,26,38,50)+ms(14.5,26.5,38.5,50.5),[])
+day("w05-vake-light",70,si(2,4,6)+rv(12,24,36,48)+ms(11,13,23,25,35,37,47,49),[])
+day("w06-vake-shift",70,rv(8,20,32,44,56)+ms(8.5,20.5,32.5,44.5,56.5),[])
