--- a/src/core/configuration/configduty.cpp
+++ b/src/core/configuration/configduty.cpp
@@ -54,15 +54,28 @@
   state.under_way = std::move(job);
 }
 
-/// Version of a change that was taken, by its fingerprint or, where a former release took it, by its identity.
+/// True if an order with the identity of a listed change can be that change. Only an amendment's identity holds its
+/// base; a whole configuration is another change where it builds on the number that the listed one brought, or a later.
+bool may_be_listed(const ConfigDutyState& state, const ConfigJob& job, const wire::Change& listed) {
+  const auto base = read_base(job.operation.base());
+  if (!base) return false;
+  if (state.dialect == nullptr) return *base < listed.version();
+  if (job.operation.method() == "POST") return true;
+  return *base < state.dialect->read_config(job.operation.body()).config.revision;
+}
+
+/// Version of a change that was taken before: the same content on the same base. What a former release took is known by
+/// its identity alone.
 std::optional<std::uint64_t> taken_version(const ConfigDutyState& state, const ConfigJob& job) {
   const auto& value = state.current;
   const auto* listed = listed_change(value, job.operation.change());
-  if (const auto since = taken_find(value.taken(), job.fingerprint))
-    return listed != nullptr ? listed->version() : value.version() - *since;
+  if (const auto recorded = taken_find(value.taken(), job.fingerprint)) {
+    if (read_base(job.operation.base()) != recorded->base) return std::nullopt;
+    return listed != nullptr ? listed->version() : value.version() - recorded->later;
+  }
   const auto covered = taken_complete(value.taken(), current_number(state)) ? taken_count(value.taken()) : 0;
-  if (listed != nullptr && listed->version() + covered <= value.version()) return listed->version();
-  return std::nullopt;
+  if (listed == nullptr || listed->version() + covered > value.version()) return std::nullopt;
+  return may_be_listed(state, job, *listed) ? std::optional(listed->version()) : std::nullopt;
 }
 
 /// True when a change may be one that was taken longer ago than is remembered.
--- a/src/core/configuration/takenchanges.cpp
+++ b/src/core/configuration/takenchanges.cpp
@@ -51,12 +51,15 @@
   if (taken_count(record) > most) drop_oldest(record, taken_count(record) - most);
 }
 
-std::optional<std::size_t> taken_find(const wire::TakenChanges& record, const std::string& fingerprint) {
+std::optional<RecordedChange> taken_find(const wire::TakenChanges& record, const std::string& fingerprint) {
   const std::string_view all = record.fingerprints();
-  if (fingerprint.size() != fingerprint_bytes) return std::nullopt;
-  for (auto end = all.size(); end >= fingerprint_bytes; end -= fingerprint_bytes)
-    if (all.substr(end - fingerprint_bytes, fingerprint_bytes) == fingerprint)
-      return (all.size() - end) / fingerprint_bytes;
+  const auto count = taken_count(record);
+  if (fingerprint.size() != fingerprint_bytes || all.size() != count * fingerprint_bytes) return std::nullopt;
+  for (auto place = count; place-- > 0;) {
+    if (all.substr(place * fingerprint_bytes, fingerprint_bytes) != fingerprint) continue;
+    const auto earlier = record.steps().begin() + static_cast<std::ptrdiff_t>(place);
+    return RecordedChange{count - 1 - place, std::accumulate(record.steps().begin(), earlier, record.first_base())};
+  }
   return std::nullopt;
 }
 
--- a/src/core/configuration/takenchanges.hpp
+++ b/src/core/configuration/takenchanges.hpp
@@ -21,8 +21,18 @@
   std::uint64_t number = 0;
 };
 
-/// Fingerprint of all that makes two orders the same change. Where documents are `numbered` by the operator, these are
-/// the kind and the bytes sent, and for an amendment the base; otherwise the change's identity counts as well.
+/// A change that the record holds.
+struct RecordedChange {
+  /// Changes recorded after it.
+  std::size_t later = 0;
+  /// Number of the configuration that it was built on.
+  std::uint64_t base = 0;
+  bool operator==(const RecordedChange&) const = default;
+};
+
+/// Fingerprint of an order's content. Where documents are `numbered` by the operator, these are the kind and the bytes
+/// sent, and for an amendment the base; otherwise the change's identity counts as well. Two orders are the same change
+/// if their fingerprints and their bases are equal.
 std::string change_fingerprint(const wire::Operate& operation, bool numbered);
 
 /// Adds a change to the record and drops the oldest beyond `most`. A record that doesn't end at the change's base (a
@@ -31,8 +41,8 @@
 
 std::size_t taken_count(const wire::TakenChanges& record);
 
-/// How many changes were recorded after the one with this fingerprint; nothing if it isn't there.
-std::optional<std::size_t> taken_find(const wire::TakenChanges& record, const std::string& fingerprint);
+/// The newest change with this fingerprint; nothing if there is none.
+std::optional<RecordedChange> taken_find(const wire::TakenChanges& record, const std::string& fingerprint);
 
 /// True when the record holds every change from its first base up to the configuration of this number.
 bool taken_complete(const wire::TakenChanges& record, std::uint64_t number);
--- a/test/sim/orders.hpp
+++ b/test/sim/orders.hpp
@@ -14,10 +14,11 @@
   std::uint64_t number = 0;
   /// Identity at the product's own interface; two orders may bear the same.
   std::string identity;
-  /// Routes that it brings; each order has one that no other has.
+  /// Routes that it brings; each content has one that no other has.
   std::set<std::string> routes;
   /// A route that an amendment removes.
   std::string removed;
+  bool operator==(const Order&) const = default;
 };
 
 /// A configuration as far as the model knows it: its number and the names of its routes.
--- a/test/sim/ordersenders.cpp
+++ b/test/sim/ordersenders.cpp
@@ -38,10 +38,22 @@
   return orders_.size() - 1;
 }
 
+/// An operator goes back: the content of an earlier order on the number that it knows now.
+std::optional<Order> OrderSenders::older_order() {
+  if (orders_.empty()) return std::nullopt;
+  auto order = orders_[world_.chance.below(orders_.size())];
+  order.base = known_.number;
+  if (!dialect_) order.number = order.base + 1;
+  if (std::ranges::find(orders_, order) != orders_.end()) return std::nullopt;
+  return order;
+}
+
 Order OrderSenders::next_order() {
   auto& chance = world_.chance;
   const auto turn = std::to_string(orders_.size());
   Order order;
+  if (chance.happens(0.1))
+    if (auto older = older_order()) return *std::move(older);
   order.base = known_.number;
   order.number = dialect_ ? order.base + 1 + chance.below(3) : order.base + 1;
   order.amends = order.base != 0 && chance.happens(0.6);
--- a/test/sim/ordersenders.hpp
+++ b/test/sim/ordersenders.hpp
@@ -45,6 +45,7 @@
   void work(Moment end);
   void read(const std::function<void()>& then);
   Order next_order();
+  std::optional<Order> older_order();
   Taken replay() const;
   std::string wrong_answer(const Taken& taken, const OrderAnswered& answer) const;
   std::string wrong_in_calm(const Taken& taken, const OrderAnswered& answer) const;
--- a/test/unit/onenumber.cpp
+++ b/test/unit/onenumber.cpp
@@ -1,74 +1,15 @@
 #include <cstdio>
 #include <deque>
 
-#include "core/configuration/pathduty.hpp"
-#include "platform/dialect.hpp"
-#include "sim/orders.hpp"
 #include "sim/world.hpp"
 #include "unit/checks.hpp"
+#include "unit/configdutybench.hpp"
 
 using namespace weldsail;
 using namespace weldsail::sim;
 
 namespace {
 
-/// The configuration's duty by itself: every proposal gets its majority at once.
-struct Duty {
-  explicit Duty(bool with_dialect, std::size_t remembered = remembered_changes) : dialect(with_dialect) {
-    state.dialect = with_dialect ? &platform_dialect() : nullptr;
-    state.remembered = remembered;
-    owner.phase = OwnerPhase::holding;
-    owner.confirmed = 1000;
-  }
-
-  /// Status of the answer; 0 where there is none yet.
-  int send(const sim::Order& order) { return send(order, 1); }
-
-  int send(const sim::Order& order, Moment arrived) {
-    const auto request = order_request(order, dialect);
-    const auto call = dialect ? platform_dialect().read_config_call(request) : std::nullopt;
-    Effects effects;
-    config_take(state, {{1, 0, {}}, call ? path_operation(*call, request) : operate_read(request, 1), arrived, {}});
-    config_tick(state, member, core, owner, arrived + 1, effects);
-    if (owner.proposal) commit(effects);
-    for (const auto& effect : effects)
-      if (const auto* answer = std::get_if<Answer>(&effect)) return answer->status;
-    return 0;
-  }
-
-  void commit(Effects& effects) {
-    owner.version = owner.proposal->version;
-    owner.value = owner.proposal->value;
-    owner.proposal.reset();
-    config_committed(state, member, owner, effects);
-  }
-
-  /// As if a process of the former release had written the value: without the record of changes taken.
-  void rewrite(const std::function<void(wire::ConfigValue&)>& change) {
-    wire::ConfigValue value;
-    value.ParseFromString(owner.value);
-    change(value);
-    owner.value = value.SerializeAsString();
-    owner.version = value.version();
-    config_held(state, owner);
-  }
-
-  bool dialect;
-  ConfigDutyState state;
-  MemberState member;
-  wire::Core core;
-  RegisterState owner;
-};
-
-sim::Order order_on(std::uint64_t base, std::uint64_t number, const std::string& mark) {
-  sim::Order order;
-  order.base = base;
-  order.number = number;
-  order.identity = mark;
-  order.routes = {mark};
-  return order;
-}
-
 std::string hex(const std::string& bytes) {
   std::string text;
   for (const char byte : bytes) {
@@ -198,7 +139,8 @@
     REQUIRE(taken_complete(record, number));
     REQUIRE_FALSE(taken_complete(record, number + 1));
     const auto place = chance.below(model.size());
-    REQUIRE(taken_find(record, model[place].fingerprint) == model.size() - 1 - place);
+    REQUIRE(taken_find(record, model[place].fingerprint) ==
+            RecordedChange{model.size() - 1 - place, model[place].base});
     REQUIRE_FALSE(taken_find(record, std::string(fingerprint_bytes, 'x')));
   }
 }
