--- a/src/core/forwarding/paths/leave.cpp
+++ b/src/core/forwarding/paths/leave.cpp
@@ -11,6 +11,8 @@
 // that rest are closed after this share of that time.
 constexpr Moment callers_parts = 3;
 constexpr double rest_share = 0.75;
+// Before this share of the time from which requests are owed their whole answer, they may be taken by an estimate.
+constexpr double estimate_share = 0.85;
 // An answer may be slower than the mean of its unit by this part of it, or of its service, whose models differ.
 constexpr Moment unit_spare_parts = 4;
 constexpr Moment service_spare_parts = 2;
@@ -77,12 +79,15 @@
   const auto callers_time = std::min(limits.grace / callers_parts, limits.drain);
   state.path.leave_began = now;
   state.leave_due = now + share_of(leave_share, limits.grace);
+  state.path.estimates_until =
+      now + std::min(limits.grace / callers_parts, share_of(estimate_share, limits.owed_after));
   state.path.close_resting_at = now + share_of(rest_share, callers_time);
   state.path.last_busy = now;
 }
 
 bool path_will_finish(const DataState& state, const PathCarry& carry, Moment now) {
   if (state.leave_due == 0 || carry.due <= state.leave_due) return true;
+  if (carry.arrived >= state.path.estimates_until) return false;
   const auto longest = longest_answer(state, carry);
   return longest && now + *longest <= state.leave_due;
 }
--- a/src/core/forwarding/paths/path.hpp
+++ b/src/core/forwarding/paths/path.hpp
@@ -24,7 +24,8 @@
 bool path_ready(const DataState& state, Moment now);
 /// Begins to leave: what is in hand is finished.
 void path_leave(DataState& state, Moment now);
-/// True when this node stays, or when an answer that a worker begins now is whole, or past due, before the node's end.
+/// True when this node stays, or when an answer that a worker begins now is whole, or past due, before the node's end:
+/// by the request's own deadline, or, for one that came early enough, by an estimate of its answer's length.
 bool path_will_finish(const DataState& state, const PathCarry& carry, Moment now);
 /// True when nothing is left to finish, or the time for it is over and all have their final answer.
 bool path_may_depart(DataState& state, Moment now, Effects& effects);
--- a/src/core/forwarding/paths/state.hpp
+++ b/src/core/forwarding/paths/state.hpp
@@ -45,6 +45,9 @@
   Moment last_busy = 0;
   /// When this node was told to leave; 0 while it wasn't.
   Moment leave_began = 0;
+  /// Requests that came to a leaving node before this are taken by an estimate of their answer's length; later ones
+  /// only if their own deadline comes before the node's end.
+  Moment estimates_until = 0;
   /// When a leaving node closes the connections that rest; 0: not, or done.
   Moment close_resting_at = 0;
 };
--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -14,6 +14,8 @@
   Moment drain = 3000;
   /// From the request to leave until the process is ended.
   Moment grace = 8000;
+  /// A request that comes later than this after the request to leave is owed its whole answer.
+  Moment owed_after = 3000;
   /// Longest time until an acknowledged configuration is in force.
   Moment adopt = 2000;
   double budget_ratio = 0.2;
