--- a/src/core/configuration/pathduty.cpp
+++ b/src/core/configuration/pathduty.cpp
@@ -29,9 +29,10 @@
   operation.set_path(amends ? "/v1/config/change" : "/v1/config");
   if (call.kind == ConfigCallKind::read) return operation;
   if (call.base) operation.set_base(std::to_string(*call.base));
-  operation.set_body(event.body);
+  operation.set_body(event.body.text());
   const auto origin = amends ? "amend " + operation.base() + " " : std::string("replace ");
-  operation.set_change("c" + std::to_string(digest(origin + event.body)) + "-" + std::to_string(event.body.size()));
+  operation.set_change("c" + std::to_string(digest(origin + event.body.text())) + "-" +
+                       std::to_string(event.body.size()));
   return operation;
 }
 
--- a/src/core/data.hpp
+++ b/src/core/data.hpp
@@ -46,7 +46,7 @@
   std::string route_name;
   RouteOptions route;
   std::uint64_t document_version = 0;
-  std::string body;
+  Body body;
   std::uint64_t prompt_tokens = 0;
   std::uint64_t generation_tokens = 0;
   std::vector<std::uint64_t> blocks;
--- a/src/core/effect.hpp
+++ b/src/core/effect.hpp
@@ -21,7 +21,7 @@
   std::string method;
   std::string path;
   std::vector<Header> headers;
-  std::string body;
+  Body body;
   bool fresh;
   Moment due;
   /// When it must be connected; 0: no such time.
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/body.hpp"
 #include "core/traffic.hpp"
 #include "state.pb.h"
 #include "wire.pb.h"
@@ -47,7 +48,7 @@
   std::string method;
   std::string path;
   std::vector<Header> headers;
-  std::string body;
+  Body body;
   /// The path with its query, as received.
   std::string target = {};
   /// The value of the Host header as received; empty when there is none.
--- a/src/core/forwarding/paths/call.cpp
+++ b/src/core/forwarding/paths/call.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t part_limit = 1024;
+/// Bytes of the longest end of an event.
+constexpr std::size_t longest_mark = 4;
 // Nodes that restart forget what they have spent, and shares are uneven: part of the whole that is used.
 constexpr double budget_used = 0.6;
 
@@ -68,12 +70,14 @@
 }
 
 std::string events_take(EventReader& reader, const std::string& bytes) {
+  // What was there before holds no whole mark, but may end with the beginning of one.
+  auto searched = reader.buffer.size() - std::min(reader.buffer.size(), longest_mark - 1);
   reader.buffer += bytes;
   std::string whole;
   std::size_t begin = 0;
   while (true) {
-    auto end = reader.buffer.find("\n\n", begin);
-    const auto other = reader.buffer.find("\r\n\r\n", begin);
+    auto end = reader.buffer.find("\n\n", searched);
+    const auto other = reader.buffer.find("\r\n\r\n", searched);
     std::size_t mark = 2;
     if (other != std::string::npos && (end == std::string::npos || other < end)) {
       end = other;
@@ -87,7 +91,7 @@
     }
     if (reader.disordered) break;
     whole += event;
-    begin = end + mark;
+    searched = begin = end + mark;
   }
   reader.buffer.erase(0, begin);
   return whole;
--- a/src/core/forwarding/paths/call.hpp
+++ b/src/core/forwarding/paths/call.hpp
@@ -43,7 +43,8 @@
   std::string method;
   std::string target;
   std::string path;
-  std::string body;
+  /// Until the request can't be sent to a worker any more.
+  Body body;
   PathCall call;
   PathRoute route;
   std::uint64_t revision = 0;
--- a/src/core/forwarding/paths/pipe.cpp
+++ b/src/core/forwarding/paths/pipe.cpp
@@ -6,6 +6,12 @@
 namespace weldsail {
 namespace {
 
+/// Answers that hold less than this aren't looked at: the number of requests bounds them.
+constexpr std::size_t short_answer = 64U << 10U;
+/// Parts of the memory for requests that one answer, and all answers together, may hold besides.
+constexpr std::size_t one_answer_parts = 4;
+constexpr std::size_t all_answers_parts = 2;
+
 bool streams(const PathCarry& carry) {
   return carry.route.mode == PathMode::stream && carry.status >= 200 && carry.status < 300;
 }
@@ -34,6 +40,8 @@
                            effects);
   }
   carry.head = std::move(head);
+  // The worker has begun it, so that it can't go to another one.
+  if (!carry.head.not_run && !carry_repeatable(carry)) carry.body = {};
 }
 
 /// A worker serves the request: what it asked for is owed to nobody any more.
@@ -80,18 +88,33 @@
       count * state.path.config->services[carry.service].tokens_per_event;
 }
 
+/// Bytes of an answer that wait for its end, or for the end of an event.
+std::size_t held_answer(const PathCarry& carry) { return carry.answer.size() + carry.reader.buffer.size(); }
+
+/// True when what is held of answers takes too much memory: of this one, or of all of them where this one is long.
+bool holds_too_much(const DataState& state, const PathCarry& carry) {
+  const auto own = held_answer(carry);
+  if (own <= short_answer) return false;
+  std::size_t all = 0;
+  for (const auto& [request, other] : state.path.carries) all += held_answer(other);
+  const auto limit = state.options.held_limit;
+  return own > limit / one_answer_parts || all > limit / all_answers_parts;
+}
+
 void take_bytes(DataState& state, PathCarry& carry, const PipeBytes& event, Moment now, Effects& effects) {
   if (!streams(carry)) {
     carry.answer += event.bytes;
     carry.tries.back().last_bytes = now;
     state.path.tracks[carry.tries.back().worker].last_bytes = now;
-    if (carry.answer.size() <= state.options.held_limit / 4) return;
+    if (!holds_too_much(state, carry)) return;
     return path_cancel_try(state, carry, TryPhase::broken, "answer_too_long", now, effects);
   }
   auto whole = events_take(carry.reader, event.bytes);
   if (carry.reader.disordered) {
     return path_cancel_try(state, carry, TryPhase::broken, "events_out_of_order", now, effects);
   }
+  if (holds_too_much(state, carry))
+    return path_cancel_try(state, carry, TryPhase::broken, "event_too_long", now, effects);
   if (!whole.empty()) {
     if (!carry.answer_begun) {
       carry.answer_begun = true;
--- a/src/core/operations/commonmetrics.cpp
+++ b/src/core/operations/commonmetrics.cpp
@@ -110,6 +110,11 @@
   text.gauge("message_links", "Connections on which this process sends.").sample(transport.links);
   text.gauge("message_queue_bytes", "Memory of all queues of messages.").sample(transport.queued_bytes);
   text.gauge("message_queue_longest_bytes", "Memory of the longest of them.").sample(transport.longest_queue_bytes);
+  text.gauge("request_body_bytes", "Memory that requests take, from the first bytes to the last use of the body.");
+  text.sample(transport.body_bytes);
+  text.gauge("request_body_bytes_limit", "Most that this may come to.").sample(transport.body_bytes_limit);
+  text.counter("request_bodies_refused_total", "Requests that were refused as they came, for want of that memory.");
+  text.sample(transport.bodies_refused);
   text.gauge("caller_connections", "Open connections of callers and operators.").sample(transport.caller_connections);
   text.gauge("events_waiting", "Events that wait for the process's one thread.").sample(transport.waiting_events);
   text.gauge("events_waiting_seconds", "Time for which the oldest of them has waited.");
--- a/src/core/operations/operate.cpp
+++ b/src/core/operations/operate.cpp
@@ -90,7 +90,7 @@
   wire::Operate operation;
   operation.set_method(event.method);
   operation.set_path(event.path);
-  operation.set_body(event.body);
+  operation.set_body(event.body.text());
   operation.set_base(header_value(event.headers, "weldsail-base"));
   operation.set_change(header_value(event.headers, "weldsail-change"));
   if (operation.change().empty()) operation.set_change("c" + std::to_string(mix(random ^ event.request)));
--- a/src/core/traffic.hpp
+++ b/src/core/traffic.hpp
@@ -27,6 +27,10 @@
   std::uint64_t longest_queue_bytes = 0;
   /// Open connections of callers and operators.
   std::uint64_t caller_connections = 0;
+  /// Memory that requests of callers and operators take, what it may come to, and requests refused for want of it.
+  std::uint64_t body_bytes = 0;
+  std::uint64_t body_bytes_limit = 0;
+  std::uint64_t bodies_refused = 0;
   /// Events that wait for the reducer.
   std::uint64_t waiting_events = 0;
   /// Milliseconds for which the oldest of them has waited.
--- a/src/shell/client.cpp
+++ b/src/shell/client.cpp
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 #include "shell/address.hpp"
@@ -22,7 +23,8 @@
 
 bool bodiless(const std::string& method) { return method != "POST" && method != "PUT" && method != "PATCH"; }
 
-std::string request_text(const OpenPipe& effect) {
+/// All of a request but its body.
+std::string request_head(const OpenPipe& effect) {
   std::string text = effect.method + " " + effect.path + " HTTP/1.1\r\n";
   const bool named = std::ranges::any_of(effect.headers, [](const Header& header) { return header.name == "host"; });
   if (!named) text += "host: " + effect.address + "\r\n";
@@ -31,7 +33,7 @@
   if (effect.fresh) text += "connection: close\r\n";
   if (!effect.body.empty() || !bodiless(effect.method))
     text += "content-length: " + std::to_string(effect.body.size()) + "\r\n";
-  return text + "\r\n" + effect.body;
+  return text + "\r\n";
 }
 
 /// How long the one who answers keeps an idle connection, in milliseconds; the default when it doesn't say.
@@ -68,7 +70,8 @@
   Moment due;
   Moment connect_due;
   /// The request until it is written.
-  std::string text;
+  std::string head;
+  Body body;
   ResponseReader reader;
   /// How long the connection may rest after the answer, in milliseconds.
   Moment rest = 0;
@@ -88,7 +91,7 @@
 void Client::open(const OpenPipe& effect) {
   auto& slot = exchanges_[effect.pipe];
   slot = std::make_unique<Exchange>(Exchange{this, effect.pipe, effect.address, effect.fresh, effect.due,
-                                             effect.connect_due, request_text(effect),
+                                             effect.connect_due, request_head(effect), effect.body,
                                              ResponseReader(effect.method == "HEAD")});
   auto& exchange = *slot;
   if (!effect.fresh) exchange.socket = pool_.take(effect.address, monotonic_now());
@@ -114,15 +117,17 @@
   exchange.sent = true;
   exchange.socket->data = &exchange;
   h2o_socket_read_start(exchange.socket, on_read);
-  auto buffer = h2o_iovec_init(exchange.text.data(), exchange.text.size());
-  h2o_socket_write(exchange.socket, &buffer, 1, on_written);
+  std::array<h2o_iovec_t, 2> parts{h2o_iovec_init(exchange.head.data(), exchange.head.size()),
+                                   h2o_iovec_init(exchange.body.data(), exchange.body.size())};
+  h2o_socket_write(exchange.socket, parts.data(), exchange.body.empty() ? 1 : 2, on_written);
 }
 
 void Client::on_written(h2o_socket_t* socket, const char* error) {
   auto& exchange = *static_cast<Exchange*>(socket->data);
   // After an error the answer may still be there to be read, and the reading tells of the end.
   exchange.written = error == nullptr;
-  exchange.text = {};
+  exchange.head = {};
+  exchange.body = {};
 }
 
 void Client::on_read(h2o_socket_t* socket, const char* error) {
--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -194,7 +194,7 @@
 TransportObserved Node<State>::observe() const {
   TransportObserved observed;
   messenger_.observe(observed.figures);
-  observed.figures.caller_connections = callers_.open_pipes();
+  callers_.observe(observed.figures);
   observed.figures.waiting_events = queue_.waiting();
   observed.figures.waiting_ms = static_cast<std::uint64_t>(queue_.waited(monotonic_now()));
   observed.figures.events_dropped = queue_.dropped();
--- a/src/shell/pipes.cpp
+++ b/src/shell/pipes.cpp
@@ -12,7 +12,8 @@
 
 constexpr int accepts_per_turn = 16;
 constexpr Moment sweep_pause = 250;
-constexpr std::size_t input_bodies = 16;
+/// Part of the memory for requests that unsent answers may take.
+constexpr std::size_t unsent_parts = 2;
 
 bool has_input(const h2o_socket_t* socket) { return socket->input != nullptr && socket->input->size > 0; }
 
@@ -41,11 +42,14 @@
     socket->on_close = {on_close, pipe.get()};
     server->pipes_[socket] = std::move(pipe);
     h2o_accept(&server->accept_, socket);
+    if (const auto accepted = server->pipes_.find(socket); accepted != server->pipes_.end())
+      watch_input(*accepted->second);
   }
 }
 
 void Server::on_close(void* memory) {
   auto* pipe = static_cast<Pipe*>(memory);
+  pipe->server->release_input(*pipe);
   pipe->server->pipes_.erase(pipe->socket);
 }
 
@@ -91,12 +95,7 @@
     if (pending->ended_at == 0) pending->ended_at = now;
     if (now - pending->ended_at > limits_.transfer) shut(socket);
   }
-  std::size_t input = 0;
-  h2o_socket_t* largest = nullptr;
   for (auto& [socket, pipe] : pipes_) {
-    const auto size = socket->input == nullptr ? 0 : socket->input->size;
-    input += size;
-    if (largest == nullptr || size > largest->input->size) largest = socket;
     if (answering.contains(socket)) {
       pipe->since = now;
       pipe->bytes = socket->bytes_read;
@@ -109,7 +108,24 @@
     }
     if (now - pipe->since > (pipe->begun ? limits_.transfer : limits_.idle)) shut(socket);
   }
-  if (input > input_bodies * limits_.body && largest != nullptr) shut(largest);
+}
+
+void Server::sweep_unsent() {
+  std::size_t all = 0;
+  Pending* largest = nullptr;
+  const auto size_of = [](const Pending& pending) { return pending.unsent->size() + pending.sending->size(); };
+  for (const auto& [number, pending] : pending_) {
+    all += size_of(*pending);
+    if (largest == nullptr || size_of(*pending) > size_of(*largest)) largest = pending;
+  }
+  if (all > limits_.held / unsent_parts) shut(largest->socket());
+}
+
+void Server::observe(TransportFigures& figures) const {
+  figures.caller_connections = pipes_.size();
+  figures.body_bytes = budget_.used();
+  figures.body_bytes_limit = budget_.limit();
+  figures.bodies_refused = bodies_refused_;
 }
 
 void Server::close_resting() {
@@ -140,6 +156,7 @@
     if (!h2o_socket_is_reading(listener->socket)) h2o_socket_read_start(listener->socket, on_accept);
   sweep_gone();
   sweep_pipes(now);
+  sweep_unsent();
 }
 
 }  // namespace weldsail
--- a/src/shell/server.cpp
+++ b/src/shell/server.cpp
@@ -31,7 +31,9 @@
   Server* server;
 };
 
-Server::Server(Loop& loop, const ServerLimits& limits) : loop_(loop), limits_(limits) {
+Server::Server(Loop& loop, const ServerLimits& limits) : loop_(loop), limits_(limits), budget_(limits.held) {
+  rewatch_.entry.cb = on_rewatch;
+  rewatch_.server = this;
   h2o_config_init(&configuration_);
   configuration_.max_request_entity_size = limits.body * body_margin;
   configuration_.http1.req_timeout = month;
@@ -49,7 +51,11 @@
 
 Server::~Server() {
   close();
-  for (const auto& [socket, pipe] : pipes_) socket->on_close = {nullptr, nullptr};
+  h2o_timeout_unlink(&rewatch_.entry);
+  for (const auto& [socket, pipe] : pipes_) {
+    socket->on_close = {nullptr, nullptr};
+    if (socket->_cb.read == on_input) socket->_cb.read = pipe->http_read;
+  }
 }
 
 Outcome<std::string> Server::listen(const std::string& address, int door) {
@@ -85,7 +91,6 @@
     const auto& header = request->headers.entries[place];
     event.headers.push_back({text_of(*header.name), text_of(header.value)});
   }
-  if (request->entity.base != nullptr) event.body = text_of(request->entity);
   event.target = text_of(request->input.path);
   const auto& authority = request->input.authority;
   // Without a Host header h2o puts its own host's name there.
@@ -94,6 +99,11 @@
   if (pipe != server->pipes_.end()) {
     event.door = pipe->second->door;
     pipe->second->used = true;
+    server->release_input(*pipe->second);
+  }
+  if (request->entity.base != nullptr) {
+    event.body = server->budget_.keep(text_of(request->entity));
+    give_back(request->entity);
   }
   // What crossed the close of its connection can't be answered, so nobody may begin it.
   if (pipe != server->pipes_.end() && pipe->second->closed)
@@ -107,6 +117,7 @@
   auto* pending = static_cast<Pending*>(memory);
   auto* server = pending->server;
   server->pending_.erase(pending->number);
+  server->rewatch_later(pending->socket());
   delete pending->unsent;
   delete pending->sending;
   if (!pending->ended && !pending->told_gone) server->gone.emit(pending->number);
--- a/src/shell/server.hpp
+++ b/src/shell/server.hpp
@@ -6,7 +6,9 @@
 
 #include "core/effect.hpp"
 #include "core/forwarding/outcome.hpp"
+#include "core/traffic.hpp"
 #include "shell/address.hpp"
+#include "shell/bodybudget.hpp"
 #include "shell/loop.hpp"
 
 namespace weldsail {
@@ -16,6 +18,8 @@
   std::size_t body = 1U << 20U;
   std::size_t pipes = 4096;
   std::size_t unsent = 1U << 20U;
+  /// Memory of all requests, from their first bytes to the last use of their bodies. Half of it may be unsent answers.
+  std::size_t held = 64U << 20U;
   /// Longest time without a request on an open pipe.
   Moment idle = 60000;
   /// Longest time for a whole request to come in, or for the rest of an ended answer to be read.
@@ -52,6 +56,8 @@
   /// Looks for askers that have closed their pipe, and closes pipes that are past the limits.
   void sweep(Moment now);
   std::size_t open_pipes() const { return pipes_.size(); }
+  /// Adds what this listener counts.
+  void observe(TransportFigures& figures) const;
 
  private:
   struct Pending;
@@ -63,6 +69,19 @@
   static void on_proceed(h2o_generator_t* generator, h2o_req_t* request);
   static void on_dispose(void* memory);
   static void on_close(void* memory);
+  static void on_input(h2o_socket_t* socket, const char* error);
+  static void on_rewatch(h2o_timeout_entry_t* entry);
+  /// Looks at what comes on a pipe before h2o does, until its request is whole.
+  static void watch_input(Pipe& pipe);
+  /// The same once the pipe's request has ended and h2o waits for the next one.
+  void rewatch_later(h2o_socket_t* socket);
+  /// Counts what has come and what is announced; false where it doesn't fit.
+  bool admit(Pipe& pipe);
+  void release_input(Pipe& pipe);
+  /// Refuses the request that is coming; the rest of it is thrown away.
+  void refuse_body(Pipe& pipe);
+  /// Ends the slowest reader's answer while unsent answers take too much memory.
+  void sweep_unsent();
   void sweep_gone();
   void sweep_pipes(Moment now);
   void flush(Pending& pending);
@@ -78,6 +97,15 @@
   std::map<std::uint64_t, Pending*> pending_;
   std::map<h2o_socket_t*, std::unique_ptr<Pipe>> pipes_;
   ServerLimits limits_;
+  BodyBudget budget_;
+  std::uint64_t bodies_refused_ = 0;
+  /// An alarm of h2o's loop that knows its server.
+  struct Rewatch {
+    h2o_timeout_entry_t entry;
+    Server* server;
+  };
+  Rewatch rewatch_{};
+  std::vector<h2o_socket_t*> rewatched_;
   bool closes_after_answers_ = false;
   Moment next_sweep_ = 0;
   std::uint64_t next_ = 1;
--- a/src/shell/serverparts.hpp
+++ b/src/shell/serverparts.hpp
@@ -37,6 +37,12 @@
   bool begun;
   /// A whole request has come on it.
   bool used = false;
+  /// h2o's own reader, which `on_input` stands before.
+  h2o_socket_cb http_read = nullptr;
+  /// Bytes of the request that is coming, as counted.
+  std::size_t reserved = 0;
+  /// The request that was coming was refused: what still comes is thrown away.
+  bool refused = false;
   /// Closed by this server, though the loop may still read what came before.
   bool closed = false;
 };
@@ -51,6 +57,9 @@
 /// The first version of HTTP that can send a body in chunks.
 inline constexpr int version_with_chunks = 0x101;
 
+/// Gives the memory of a copied body in h2o's input back to the system, where that is worth a call.
+void give_back(const h2o_iovec_t& copied);
+
 /// Cuts a pipe both ways; its end is seen on the loop.
 void shut(h2o_socket_t* socket);
 
--- a/src/wscp/main.cpp
+++ b/src/wscp/main.cpp
@@ -24,6 +24,7 @@
   if (chosen.control.platform_pace < 100) faults.emplace_back("--platform-pace-ms: must be at least 100");
   if (chosen.control.claims_kept < weldsail::call_due_most)
     faults.emplace_back("--claims-kept-ms: must be at least 600000, the longest due of a call");
+  if (chosen.common.place.limits.held < (1U << 20U)) faults.emplace_back("--held-bytes: must be at least 1048576");
   if (chosen.control.has_disk && chosen.common.place.folder.empty()) faults.emplace_back("--folder: is missing");
   return faults;
 }
@@ -44,6 +45,8 @@
   TCLAP::ValueArg<std::int64_t> pace("", "platform-pace-ms", "least time between asks", false, 5000, "ms", line);
   TCLAP::ValueArg<std::int64_t> kept("", "claims-kept-ms", "how long an idempotency key is refused", false,
                                      weldsail::vote_kept, "ms", line);
+  TCLAP::ValueArg<std::size_t> held("", "held-bytes", "most bytes of operators' requests in hand", false, 64U << 20U,
+                                    "bytes", line);
   line.parse(arguments);
   Chosen chosen;
   chosen.common = weldsail::common_chosen(flags);
@@ -59,6 +62,7 @@
   chosen.control.claims_kept = kept.getValue();
   if (!chosen.control.has_disk) chosen.common.place.folder.clear();
   chosen.common.place.limits.body = 16U << 20U;
+  chosen.common.place.limits.held = held.getValue();
   return chosen;
 }
 
--- a/src/wsdp/main.cpp
+++ b/src/wsdp/main.cpp
@@ -56,6 +56,7 @@
   chosen.data.leave_limit = leave.getValue();
   chosen.common.place.aside = aside.getValue();
   chosen.common.place.limits.body = std::max<std::size_t>(body_limit.getValue(), 16U << 20U);
+  chosen.common.place.limits.held = held.getValue();
   chosen.common.place.limits.pipes = pipes.getValue();
   chosen.common.place.limits.idle = idle.getValue();
   chosen.common.place.limits.transfer = transfer.getValue();
