--- a/src/shell/intake.cpp
+++ b/src/shell/intake.cpp
@@ -19,7 +19,9 @@
 constexpr std::size_t head_most = 64U << 10U;
 /// Bodies from this size on are given back to the system where h2o holds them, once they have been copied.
 constexpr std::size_t given_back_bytes = 64U << 10U;
-constexpr std::string_view refusal =
+constexpr std::string_view refusal_for_good =
+    "HTTP/1.1 413 Payload Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+constexpr std::string_view refusal_for_now =
     "HTTP/1.1 503 Service Unavailable\r\nretry-after: 0.5\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 int on_headers(http_parser* parser) {
@@ -88,8 +90,10 @@
   const auto& input = *pipe.socket->input;
   if (input.size <= std::max(pipe.reserved, uncounted_bytes)) return true;
   auto wanted = input.size;
-  if (const auto length = announced_length(input))
-    wanted = std::max(wanted, std::min(*length, configuration_.max_request_entity_size));
+  const auto length = announced_length(input);
+  // h2o refuses what is longer, and reads nothing of it.
+  if (length > configuration_.max_request_entity_size) return true;
+  if (length) wanted = std::max(wanted, *length);
   if (!budget_.reserve(wanted - pipe.reserved)) return false;
   pipe.reserved = wanted;
   return true;
@@ -99,6 +103,8 @@
 
 void Server::refuse_body(Pipe& pipe) {
   ++bodies_refused_;
+  const bool never_fits = announced_length(*pipe.socket->input) > budget_.limit();
+  const auto refusal = never_fits ? refusal_for_good : refusal_for_now;
   pipe.refused = true;
   release_input(pipe);
   const int descriptor = h2o_socket_get_fd(pipe.socket);
--- a/test/unit/bodymemory.cpp
+++ b/test/unit/bodymemory.cpp
@@ -136,6 +136,19 @@
   CHECK(door.figures().bodies_refused == 0);
 }
 
+TEST_CASE("a body that is longer than all memory for requests is refused for good", "[carry]") {
+  Door door;
+  const auto length = GENERATE(2 * Door::limits().held, std::size_t{1} << 40U);
+  auto caller = raw_caller(door.address);
+  caller->say("POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: " + std::to_string(length) + "\r\n\r\n");
+  caller->say(std::string(8192, 'b'));
+  CHECK(pump(door.loop, [&] {
+    caller->hear();
+    return caller->got.starts_with("HTTP/1.1 413 ");
+  }));
+  CHECK(door.figures().body_bytes == 0);
+}
+
 TEST_CASE("a small request is served while there is no memory for long ones", "[carry]") {
   Door door;
   std::vector<LongCaller> callers;
