--- a/src/core/configuration/paths.cpp
+++ b/src/core/configuration/paths.cpp
@@ -25,6 +25,7 @@
   std::set<std::pair<std::string, std::string>> places;
   std::set<std::string> names;
   if (config.revision == 0) faults.push_back({"/revision", "must be above 0"});
+  if (config.tenants) check_tenants(*config.tenants, "/tenants", faults);
   for (std::size_t place = 0; place < config.routes.size(); ++place) {
     const auto& route = config.routes[place];
     const auto pointer = "/routes/" + std::to_string(place);
--- a/src/core/configuration/paths.hpp
+++ b/src/core/configuration/paths.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "core/configuration/config.hpp"
+#include "core/configuration/tenants.hpp"
 
 namespace weldsail {
 
@@ -26,6 +27,8 @@
   bool resumable = false;
   /// Requests name a model.
   bool by_model = false;
+  /// Where the configuration has tenants, requests must carry a tenant's key.
+  bool needs_key = true;
   /// Longest time that a request is held or run, in milliseconds.
   Moment due = 30000;
   /// Time in which an answer (of a stream: its first event) earns its full worth.
@@ -80,6 +83,8 @@
   std::uint64_t revision = 0;
   std::vector<PathRoute> routes;
   std::map<std::string, PathService> services;
+  /// Nothing where requests need no key on any route.
+  std::optional<std::vector<Tenant>> tenants;
   CallerLimits limits;
 };
 
@@ -101,7 +106,7 @@
   std::map<std::string, std::map<std::string, std::size_t>> hosts_;
 };
 
-/// Faults that any configuration of routes may have: unknown services, doubled places, weights, dues.
+/// Faults that any configuration of routes may have: unknown services, doubled places, weights, dues, tenants.
 void check_paths(const PathConfig& config, std::vector<Fault>& faults);
 
 }  // namespace weldsail
--- a/src/core/dialect.hpp
+++ b/src/core/dialect.hpp
@@ -28,7 +28,9 @@
   Moment wait = 0;
   /// Last event that the caller has of a resumed stream.
   std::optional<std::uint64_t> last_event;
-  /// Headers that go along to the worker, hop-by-hop ones left out.
+  /// Hashes of the keys that the caller sent (`hash_key`), each as often as it was sent.
+  std::vector<std::string> key_hashes;
+  /// Headers that go along to the worker; hop-by-hop ones, keys and what the system sets itself are left out.
   std::vector<Header> headers;
 };
 
@@ -38,6 +40,8 @@
   Moment wait = 0;
   int urgency = 5;
   std::optional<std::uint64_t> last_event;
+  /// The tenant that the request runs for; empty where it has none.
+  std::string tenant;
 };
 
 /// What the head of a worker's answer says.
@@ -106,6 +110,8 @@
                                                                  const std::string& change);
   /// Nothing where the path is no call on the configuration.
   std::optional<ConfigCall> (*read_config_call)(const RequestArrived& event);
+  /// How a caller whose key isn't known is told to bring one, as in the header `WWW-Authenticate`.
+  const char* key_challenge;
   /// Nothing where the request can't be understood.
   std::optional<PathCall> (*read_call)(const RequestArrived& event);
   /// All headers of a request to a worker.
--- a/src/core/forwarding/paths/call.hpp
+++ b/src/core/forwarding/paths/call.hpp
@@ -50,6 +50,8 @@
   std::uint64_t revision = 0;
   std::string service;
   std::string unit;
+  /// Whose key the request carries, by the configuration that it was placed under; empty where it needs none.
+  std::string tenant;
   std::vector<std::uint64_t> chain;
   Moment arrived = 0;
   Moment due = 0;
--- a/src/core/forwarding/paths/finish.cpp
+++ b/src/core/forwarding/paths/finish.cpp
@@ -39,6 +39,12 @@
   return {"retry-after", std::to_string(wait / 1000) + "." + std::to_string(1000 + wait % 1000).substr(1)};
 }
 
+void path_challenge(const DataState& state, Answer& answer) {
+  constexpr int unauthorized = 401;
+  if (answer.status == unauthorized)
+    answer.headers.push_back({"www-authenticate", state.options.dialect->key_challenge});
+}
+
 void path_finish(DataState& state, PathCarry& carry, Moment now, Effects& effects) {
   ++state.totals.finished;
   const bool success = carry.status >= 200 && carry.status < 300;
@@ -61,6 +67,7 @@
         wait == 0 ? 0 : static_cast<Moment>(mix(state.random ^ carry.request) % static_cast<std::uint64_t>(wait));
     answer.headers.push_back(path_retry_after(wait / 2 + spread / 2));
   }
+  path_challenge(state, answer);
   effects.push_back(std::move(answer));
   drop(state, carry, reason, now, effects);
 }
--- a/src/core/forwarding/paths/move.cpp
+++ b/src/core/forwarding/paths/move.cpp
@@ -99,7 +99,8 @@
   carry.answer.clear();
   carry.answer_whole = false;
   carry.reader.buffer.clear();
-  RunTerms terms{worker.identity(), std::max<Moment>(1, carry.due - now), carry.route.urgency, carry.reader.last};
+  RunTerms terms{worker.identity(), std::max<Moment>(1, carry.due - now), carry.route.urgency, carry.reader.last,
+                 carry.tenant};
   OpenPipe open{pipe,
                 worker.address(),
                 carry.method,
@@ -142,9 +143,8 @@
   if (sent > 0 && !budget_allows(state.path.budgets[carry.service], state.options.limits, path_nodes(state), now))
     return wait_or_give_up("budget");
   set_waits(state, carry, false);
-  if (!path_place(state, carry)) {
-    if (may_have_run) return path_break(state, carry, "no_route", now, effects);
-    const auto refusal = refuse_unplaced(state, 404, "no_route");
+  if (const auto placing = path_place(state, carry); placing != Placing::placed) {
+    const auto refusal = path_refusal(state, placing);
     return give_up(refusal.reason, refusal.status);
   }
   if (configuration_outdated(state, now)) return wait_or_give_up("newer_configuration");
--- a/src/core/forwarding/paths/path.hpp
+++ b/src/core/forwarding/paths/path.hpp
@@ -32,8 +32,12 @@
 /// Time that a departing node may use to write its answers out.
 Moment path_write_time(const DataState& state);
 
-/// Brings a request in line with the configuration in force; false when that has no place for it.
-bool path_place(const DataState& state, PathCarry& carry);
+/// Whether the configuration in force has a place for a request, or what it lacks.
+enum class Placing { placed, no_route, key_unknown };
+/// Brings a request in line with the configuration in force, which decides its route and its tenant together.
+Placing path_place(const DataState& state, PathCarry& carry);
+/// How a request is refused that wasn't placed.
+Refusal path_refusal(const DataState& state, Placing placing);
 /// Why no worker was chosen, where none was.
 enum class Lack { none, model, adapter, worker };
 struct Choice {
@@ -51,6 +55,8 @@
                   Effects& effects);
 /// Tells a refused caller, in seconds, when to come back.
 Header path_retry_after(Moment wait);
+/// Adds to a 401 what HTTP wants there: how to bring a key.
+void path_challenge(const DataState& state, Answer& answer);
 /// Closes the connection of the open try, if there is one, and ends the try.
 void path_cancel_try(DataState& state, PathCarry& carry, TryPhase phase, const std::string& reason, Moment now,
                      Effects& effects);
--- a/src/core/forwarding/paths/state.hpp
+++ b/src/core/forwarding/paths/state.hpp
@@ -19,6 +19,7 @@
 struct PathState {
   std::optional<PathConfig> config;
   PathIndex index;
+  KeyIndex keys;
   std::map<std::uint64_t, PathCarry> carries;
   std::map<std::uint64_t, std::uint64_t> pipes;
   std::set<std::uint64_t> waiting;
--- a/src/core/forwarding/paths/take.cpp
+++ b/src/core/forwarding/paths/take.cpp
@@ -32,15 +32,22 @@
   return last;
 }
 
-void answer_plain(std::uint64_t request, int status, Moment retry_after, Effects& effects) {
-  std::vector<Header> headers;
-  if (retry_after > 0) headers.push_back(path_retry_after(retry_after));
-  effects.push_back(Answer{request, status, std::move(headers), {}});
+/// The tenant that a request runs for, null where it needs none and brings no key; nothing where its key isn't known.
+std::optional<const Tenant*> find_tenant(const PathState& path, const PathRoute& route, const PathCall& call) {
+  const auto& tenants = path.config->tenants;
+  if (!tenants) return nullptr;
+  if (call.key_hashes.empty() && !route.needs_key) return nullptr;
+  if (call.key_hashes.size() != 1) return std::nullopt;
+  const auto place = path.keys.find(call.key_hashes.front());
+  return place ? std::optional(&(*tenants)[*place]) : std::nullopt;
 }
 
 void refuse(DataState& state, std::uint64_t request, int status, Moment retry_after, Effects& effects) {
   ++state.path.refusals[status];
-  answer_plain(request, status, retry_after, effects);
+  Answer answer{request, status, {}, {}};
+  if (retry_after > 0) answer.headers.push_back(path_retry_after(retry_after));
+  path_challenge(state, answer);
+  effects.push_back(std::move(answer));
 }
 
 // A node that starts knows within a moment what is in force: sooner than a refused caller would be back.
@@ -77,12 +84,17 @@
   return std::max<std::size_t>(1, live_members(state.member, Program::data).size());
 }
 
-bool path_place(const DataState& state, PathCarry& carry) {
+Placing path_place(const DataState& state, PathCarry& carry) {
   const auto& config = *state.path.config;
-  if (carry.revision == config.revision) return true;
+  if (carry.revision == config.revision) return Placing::placed;
   const auto found = state.path.index.find(carry.call.host, carry.path);
-  if (!found) return false;
-  carry.route = config.routes[*found];
+  if (!found) return Placing::no_route;
+  const auto& route = config.routes[*found];
+  const auto tenant = find_tenant(state.path, route, carry.call);
+  if (!tenant) return Placing::key_unknown;
+  carry.route = route;
+  carry.tenant = *tenant == nullptr ? std::string() : (*tenant)->name;
+  if (*tenant != nullptr) carry.route.urgency = (*tenant)->urgency.value_or(route.urgency);
   carry.revision = config.revision;
   const bool stays = std::ranges::any_of(carry.route.shares, [&](const ServiceShare& share) {
     return share.service == carry.service && share.weight > 0;
@@ -92,14 +104,20 @@
   const auto service = config.services.find(carry.service);
   const bool models = service != config.services.end() && !service->second.models.empty();
   carry.unit = path_unit(carry.service, models ? carry.call.model : std::string());
-  return service != config.services.end();
+  return service != config.services.end() ? Placing::placed : Placing::no_route;
+}
+
+Refusal path_refusal(const DataState& state, Placing placing) {
+  if (placing == Placing::key_unknown) return refuse_unplaced(state, 401, "key_unknown");
+  return refuse_unplaced(state, 404, "no_route");
 }
 
 void path_take(DataState& state, const RequestArrived& event, Moment now, Effects& effects) {
   auto& path = state.path;
   if (event.door == 1) {
     const bool asked = event.path == state.options.dialect->ready_path;
-    return answer_plain(event.request, asked ? (path_ready(state, now) ? 200 : 503) : 404, 0, effects);
+    const int status = asked ? (path_ready(state, now) ? 200 : 503) : 404;
+    return effects.push_back(Answer{event.request, status, {}, {}});
   }
   if (!path.config || !path.fleet.known) return hold_early(state, event, now, effects);
   PathCarry carry;
@@ -107,9 +125,10 @@
   if (!call) return refuse(state, event.request, 400, 0, effects);
   carry.call = std::move(*call);
   carry.path = event.path;
-  const bool placed = path_place(state, carry);
-  if (!placed || event.body.size() > path.config->limits.body_bytes) {
-    const auto refusal = placed ? refuse_unplaced(state, 413, "too_large") : refuse_unplaced(state, 404, "no_route");
+  const auto placing = path_place(state, carry);
+  if (placing != Placing::placed || event.body.size() > path.config->limits.body_bytes) {
+    const auto refusal =
+        placing == Placing::placed ? refuse_unplaced(state, 413, "too_large") : path_refusal(state, placing);
     return refuse(state, event.request, refusal.status, refusal.retry_after, effects);
   }
   carry.request = event.request;
--- a/src/core/forwarding/paths/watch.cpp
+++ b/src/core/forwarding/paths/watch.cpp
@@ -68,6 +68,7 @@
   auto read = state.options.dialect->read_config(document);
   if (!read.faults.empty()) return;
   state.path.index = PathIndex(read.config);
+  state.path.keys = read.config.tenants ? KeyIndex(*read.config.tenants) : KeyIndex();
   state.path.config = std::move(read.config);
   path_early(state, now, effects);
   path_dispatch(state, now, effects);
--- a/src/core/json.hpp
+++ b/src/core/json.hpp
@@ -11,6 +11,8 @@
 
 /// How text from outside is read: without recursion, and only where all of it is UTF-8.
 inline constexpr unsigned json_strict = rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag;
+/// The same, with numbers that are written again exactly as they were sent.
+inline constexpr unsigned json_exact = json_strict | rapidjson::kParseFullPrecisionFlag;
 
 /// Text of a JSON value.
 inline std::string json_text(const rapidjson::Value& value) {
--- a/test/seam.sh
+++ b/test/seam.sh
@@ -11,6 +11,7 @@
 words='plants?|apportion|setpoint|setpoint_ms|gap_setpoint_ms|route_table|path_prefix|provider_api|port_range|machine_class'
 words+='|conn_limit|warmup_ms|WELDSAIL_CONFIG'
 words+='|X-Trial-Id|X-Server-Seal|X-Expect-Unit|X-Expect-Revision|X-Unit|X-Unit-Load|X-Not-Run|X-Deadline-Ms|X-Prompt-Prefix'
+words+='|X-Key|X-Tenant|unkeyed|credentials'
 words+='|X-Weight-Revisions|X-Base-Revision|X-Precedence|X-Tokens|X-Model'
 report "src/ holds words of the platform" "$(grep -rnwiE "$words" src)"
 report "src/ holds words of the platform" "$(grep -rnE '"(ident|trials|gain|pinned)"' src)"
--- a/test/unit/pathbench.hpp
+++ b/test/unit/pathbench.hpp
@@ -26,7 +26,8 @@
     return options;
   }
 
-  void configure(std::uint64_t revision, const std::string& extra = {}) {
+  /// Takes a configuration: `extra` are more routes, `more` are more members of the document.
+  void configure(std::uint64_t revision, const std::string& extra = {}, const std::string& more = {}) {
     const std::string routes =
         R"([{"label":"a","host":"h","path_prefix":"/chat/","mode":"stream","deadline_ms":12000,"setpoint_ms":400,"precedence":1,"plant":"chat","trials":2,"pinned":true,"continue":true,"gap_setpoint_ms":300},)"
         R"({"label":"b","host":"h","path_prefix":"/note/","mode":"stream","deadline_ms":20000,"setpoint_ms":3000,"precedence":0,"plant":"chat","trials":2,"pinned":true,"continue":false,"gap_setpoint_ms":300},)"
@@ -34,10 +35,10 @@
         extra + "]";
     const std::string plants =
         R"([{"label":"chat","probe":"/p","conn_limit":300,"runtime":{"capacity":64,"cache_tokens":100000,"stride":6,"models":[{"label":"m1","weights_mb":70000,"load_s":2,"adapters":2,"adapter_mb":50}],"weights_mb":220000,"adapter_capacity":8,"loads_per_s":4}},{"label":"seat","probe":"/p","conn_limit":100}])";
-    path_configure(
-        state,
-        R"({"revision":)" + std::to_string(revision) + R"(,"route_table":)" + routes + R"(,"plants":)" + plants + "}",
-        now, effects);
+    path_configure(state,
+                   R"({"revision":)" + std::to_string(revision) + R"(,"route_table":)" + routes + R"(,"plants":)" +
+                       plants + more + "}",
+                   now, effects);
     REQUIRE(state.path.config);
     REQUIRE(state.path.config->revision == revision);
   }
@@ -62,7 +63,7 @@
     path_fleet(state, envelope, now, effects);
   }
 
-  std::uint64_t ask(const std::string& path, bool model = true) {
+  std::uint64_t ask(const std::string& path, bool model = true, const std::vector<Header>& more = {}) {
     RequestArrived event;
     event.request = next_request++;
     event.method = "POST";
@@ -70,6 +71,7 @@
     event.authority = "h";
     event.headers = {{"x-trial-id", "t" + std::to_string(event.request)}, {"x-deadline-ms", "10000"}};
     if (model) event.headers.push_back({"x-model", "m1"});
+    event.headers.insert(event.headers.end(), more.begin(), more.end());
     effects.clear();
     path_take(state, event, now, effects);
     return event.request;
