--- a/src/core/eventqueue.cpp
+++ b/src/core/eventqueue.cpp
@@ -40,8 +40,9 @@
 }
 
 Event EventQueue::take_urgent() {
-  auto event = std::move(urgent_.front());
-  urgent_.pop_front();
+  auto& lane = first_.empty() ? urgent_ : first_;
+  auto event = std::move(lane.front());
+  lane.pop_front();
   return event;
 }
 
--- a/src/core/eventqueue.hpp
+++ b/src/core/eventqueue.hpp
@@ -8,8 +8,8 @@
 
 namespace weldsail {
 
-/// Events that wait for the one thread of a process. Urgent ones are taken first; the others wait for all of them, and
-/// are shed in a stated order when the thread lags:
+/// Events that wait for the one thread of a process. Those that others must not overtake go first, then urgent ones;
+/// the others wait for all of them, and are shed in a stated order when the thread lags:
 /// - a whole report of a data node takes the place of the one that still waits, unless that one has counters for a
 /// round;
 /// - a message that has waited for longer than `age_most` is dropped, as its sender tells it again;
@@ -22,18 +22,20 @@
   /// Events that may wait; messages beyond are dropped.
   static constexpr std::size_t waiting_most = 4096;
 
+  /// A message by which events that came before it are to be judged.
+  void put_first(Event event) { first_.push_back(std::move(event)); }
   void put_urgent(Event event) { urgent_.push_back(std::move(event)); }
   void put_later(Event event, Moment now);
 
-  bool has_urgent() const { return !urgent_.empty(); }
+  bool has_urgent() const { return !first_.empty() || !urgent_.empty(); }
   bool has_later() const { return !later_.empty(); }
   Event take_urgent();
   /// The next event that waited for the urgent ones; none when all that wait are too old.
   std::optional<Event> take_later(Moment now);
-  /// Takes all urgent events, and none of the others.
+  /// Takes all urgent events, and none of those before and after them.
   std::deque<Event> take_all_urgent() { return std::exchange(urgent_, {}); }
 
-  std::size_t waiting() const { return urgent_.size() + later_.size(); }
+  std::size_t waiting() const { return first_.size() + urgent_.size() + later_.size(); }
   std::size_t waiting_later() const { return later_.size(); }
   /// Milliseconds for which the oldest of those that wait for the urgent ones has waited.
   Moment waited(Moment now) const { return later_.empty() ? 0 : now - later_.front().since; }
@@ -52,6 +54,7 @@
   /// The whole report of the same data node that may be replaced; null where none waits.
   Waiting* replaceable(const wire::Envelope& envelope);
 
+  std::deque<Event> first_;
   std::deque<Event> urgent_;
   std::deque<Waiting> later_;
   /// Events that have been taken from `later_`, so that a place in it has a number that stays.
--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -15,6 +15,8 @@
 constexpr int aside_door = 1;
 /// Milliseconds of work that may wait before the loop looks for urgent events again.
 constexpr Moment turn_most = 4;
+/// Milliseconds of urgent work before the loop looks at the connections again.
+constexpr Moment urgent_turn_most = 50;
 /// Milliseconds in which a departing process still answers who asks on an open connection.
 constexpr Moment farewell = 200;
 /// Longest step of the loop in that time.
@@ -27,8 +29,14 @@
 constexpr std::string_view read_kind = "read";
 constexpr std::string_view write_kind = "write";
 
-/// A data-plane process takes everything in the order in which it came.
+/// A data-plane process takes everything in the order in which it came, but for what tells of configurations: a request
+/// is judged by all of that which was read before it is taken.
 bool may_wait(const DataState&, const Event&) { return false; }
+bool goes_first(const DataState&, const Event& event) {
+  const auto* message = std::get_if<MessageArrived>(&event);
+  return message != nullptr && (message->envelope.has_news() || message->envelope.has_value_part());
+}
+bool goes_first(const ControlState&, const Event&) { return false; }
 
 /// What a process that has departed answers: nothing was run, which callers of the product's own interface hear in its
 /// words.
@@ -95,14 +103,17 @@
 template <typename State>
 void Node<State>::run() {
   while (!departed_) {
-    take_turn();
+    const bool rested = take_turn();
     {
       const Stopwatch watch(costs_, write_kind);
       messenger_.flush();
       loop_.settle();
     }
     const int pause = beat();
-    if (!queue_.has_urgent()) step(queue_.has_later() ? 0 : pause);
+    if (!rested)
+      step(0);
+    else if (!queue_.has_urgent())
+      step(queue_.has_later() ? 0 : pause);
   }
   messenger_.flush();
   callers_.close();
@@ -135,20 +146,26 @@
 
 template <typename State>
 void Node<State>::put(Event event) {
-  if (may_wait(state_, event))
+  if (goes_first(state_, event))
+    queue_.put_first(std::move(event));
+  else if (may_wait(state_, event))
     queue_.put_later(std::move(event), monotonic_now());
   else
     queue_.put_urgent(std::move(event));
 }
 
 template <typename State>
-void Node<State>::take_turn() {
-  const auto until = monotonic_now() + turn_most;
+bool Node<State>::take_turn() {
+  const auto begun = monotonic_now();
   do {
-    while (!departed_ && queue_.has_urgent()) take(queue_.take_urgent());
+    while (!departed_ && queue_.has_urgent()) {
+      take(queue_.take_urgent());
+      if (queue_.has_urgent() && monotonic_now() - begun >= urgent_turn_most) return false;
+    }
     if (departed_ || !queue_.has_later()) continue;
     if (const auto event = queue_.take_later(monotonic_now())) take(*event);
-  } while (!departed_ && (queue_.has_urgent() || (queue_.has_later() && monotonic_now() < until)));
+  } while (!departed_ && (queue_.has_urgent() || (queue_.has_later() && monotonic_now() - begun < turn_most)));
+  return true;
 }
 
 template <typename State>
--- a/src/shell/node.hpp
+++ b/src/shell/node.hpp
@@ -37,8 +37,8 @@
  private:
   /// Puts an event behind those of its urgency.
   void put(Event event);
-  /// Takes all urgent events, then others for a bounded time.
-  void take_turn();
+  /// Takes urgent events, then others, each for a bounded time; false while urgent ones are left.
+  bool take_turn();
   void take(const Event& event);
   /// Looks at the connections, waiting at most so long.
   void step(int milliseconds);
--- a/test/unit/eventqueue.cpp
+++ b/test/unit/eventqueue.cpp
@@ -97,3 +97,16 @@
   CHECK_FALSE(queue.has_urgent());
   CHECK(queue.has_later());
 }
+
+TEST_CASE("what requests are judged by goes before those that came earlier, in its own order", "[queue]") {
+  EventQueue queue;
+  queue.put_urgent(RequestGone{1});
+  queue.put_first(RequestGone{2});
+  queue.put_urgent(RequestGone{3});
+  queue.put_first(RequestGone{4});
+  CHECK(queue.waiting() == 4);
+  std::vector<std::uint64_t> order;
+  while (queue.has_urgent()) order.push_back(std::get<RequestGone>(queue.take_urgent()).request);
+  CHECK(order == std::vector<std::uint64_t>{2, 4, 1, 3});
+  CHECK(queue.waiting() == 0);
+}
