--- a/src/core/configuration/fetch.cpp
+++ b/src/core/configuration/fetch.cpp
@@ -169,7 +169,7 @@
 void fetch_learned(NewsState& state, const MemberState& member, const std::string& key, Moment now, Effects& effects) {
   const auto own = news_version(state, key);
   auto& delivery = state.delivery;
-  if (key == config_key) delivery.missing.erase(delivery.missing.begin(), delivery.missing.upper_bound(own));
+  if (key == config_key) fetch_found(state, now);
   const auto sources = delivery.sources.find(key);
   if (sources == delivery.sources.end()) return;
   std::erase_if(sources->second, [&](const auto& item) { return item.second.version <= own; });
--- a/src/core/configuration/fetch.hpp
+++ b/src/core/configuration/fetch.hpp
@@ -18,12 +18,12 @@
 void fetch_learned(NewsState& state, const MemberState& member, const std::string& key, Moment now, Effects& effects);
 /// Asks for parts once more that haven't come, of another source where there is one.
 void fetch_tick(NewsState& state, const MemberState& member, Moment now, Effects& effects);
+/// Strikes off versions up to the one that is here now, and counts how long the newest of them was awaited.
+void fetch_found(NewsState& state, Moment now);
 /// Counts a broken invariant and says so in the log.
 void delivery_violated(DeliveryState& state, const char* invariant, const std::string& key, std::uint64_t version,
                        Effects& effects);
 /// True where a newer configuration is known to be committed than the one here.
 bool fetch_behind(const NewsState& state);
-/// True where that has been so for so long that the older one isn't to be served on.
-bool fetch_late(const NewsState& state, Moment now);
 
 }  // namespace weldsail
--- a/src/core/configuration/missing.cpp
+++ b/src/core/configuration/missing.cpp
@@ -7,8 +7,6 @@
 namespace weldsail {
 namespace {
 
-/// A version that is missing for this part of the bound makes the one here too old to be served.
-constexpr Moment late_per_bound = 2;
 constexpr std::size_t missing_most = 64;
 
 }  // namespace
@@ -26,6 +24,17 @@
   missing.try_emplace(known.version(), since);
 }
 
+void fetch_found(NewsState& state, Moment now) {
+  auto& missing = state.delivery.missing;
+  const auto end = missing.upper_bound(news_version(state, config_key));
+  const auto waited = end == missing.begin() ? 0 : now - std::prev(end)->second;
+  auto& adoption = state.delivery.adoption;
+  const auto bucket = std::ranges::lower_bound(adoption_buckets, waited) - adoption_buckets.begin();
+  ++adoption.counts[static_cast<std::size_t>(bucket)];
+  adoption.sum += waited;
+  missing.erase(missing.begin(), end);
+}
+
 void delivery_violated(DeliveryState& state, const char* invariant, const std::string& key, std::uint64_t version,
                        Effects& effects) {
   ++state.counters.violations;
@@ -35,10 +44,4 @@
 
 bool fetch_behind(const NewsState& state) { return !state.delivery.missing.empty(); }
 
-bool fetch_late(const NewsState& state, Moment now) {
-  const auto& missing = state.delivery.missing;
-  return std::ranges::any_of(missing,
-                             [&](const auto& item) { return now - item.second > state.bound / late_per_bound; });
-}
-
 }  // namespace weldsail
--- a/src/core/configuration/news.cpp
+++ b/src/core/configuration/news.cpp
@@ -5,6 +5,7 @@
 
 #include "core/configuration/fetch.hpp"
 #include "core/configuration/serve.hpp"
+#include "core/consensus/duty.hpp"
 
 namespace weldsail {
 namespace {
@@ -27,6 +28,13 @@
   return found != member.others.end() && found->second.entry.program() == static_cast<std::uint32_t>(Program::data);
 }
 
+/// Proofs that were awaited for versions up to the one that is here now.
+void take_awaited_proofs(NewsState& state) {
+  auto& awaited = state.awaited_proofs;
+  const auto end = awaited.upper_bound(news_version(state, config_key));
+  for (auto item = awaited.begin(); item != end; item = awaited.erase(item)) news_prove_current(state, item->second);
+}
+
 /// The version of a value that an asker has; 0 where it names none.
 std::uint64_t asker_version(const wire::NewsAsk& ask, const std::string& key) {
   const auto found = std::ranges::find(ask.known(), key, &wire::Known::key);
@@ -101,6 +109,7 @@
   const auto former = std::exchange(own, value);
   serve_learned(state, member, former, value);
   fetch_learned(state, member, value.key(), now, effects);
+  if (value.key() == config_key) take_awaited_proofs(state);
   if (value.value().size() > inline_most) ask_soon(state, now);
   for (auto item = state.waiting.begin(); item != state.waiting.end();)
     item = answer_news(state, member, core, item->second, now, effects) ? state.waiting.erase(item) : std::next(item);
@@ -123,13 +132,15 @@
   if (is_data(member, envelope.from())) answer_news(state, member, core, envelope, now, effects);
 }
 
-void news_ask_all(const NewsState& state, const MemberState& member, const wire::Core& core, Effects& effects) {
+void news_ask_all(const NewsState& state, const MemberState& member, const wire::Core& core, Moment now,
+                  Effects& effects) {
   for (const auto disk : core_members(core)) {
     const auto* entry = find_disk(member, disk);
     if (entry == nullptr) continue;
     auto envelope = member_envelope(member, entry->node());
     for (const auto& item : news_known(state)) *envelope.mutable_news_ask()->add_known() = item;
     envelope.mutable_news_ask()->set_first(true);
+    envelope.mutable_news_ask()->set_asked_ms(static_cast<std::uint64_t>(now));
     envelope.mutable_news_ask()->set_takes_parts(true);
     effects.push_back(SendMessage{entry->address(), std::move(envelope)});
   }
@@ -153,7 +164,7 @@
     item->set_version(copy.version);
   }
   *news->mutable_core() = core;
-  news_write_age(state, 0, now, *news);
+  news_write_age(state, envelope.news_ask().asked_ms(), now, *news);
   effects.push_back(SendMessage{envelope.address(), std::move(answer)});
 }
 
--- a/src/core/configuration/news.hpp
+++ b/src/core/configuration/news.hpp
@@ -31,6 +31,8 @@
   /// Up to this moment nothing newer than the configuration here had been acknowledged to anybody; proved by a
   /// majority of the core, here or where it was heard. Nothing before the first proof of this life.
   std::optional<Moment> current_as_of;
+  /// Proofs of senders for versions that aren't here yet, by version: each holds here once its version does.
+  std::map<std::uint64_t, Moment> awaited_proofs;
   /// The data node that was asked last for want of a proof, and when.
   std::uint64_t last_neighbour = 0;
   Moment neighbour_asked = 0;
@@ -56,11 +58,13 @@
 /// Asks two control nodes in different localities again and again, others in place of those that don't answer or that
 /// are cut off from the majority themselves.
 void news_tick(NewsState& state, const MemberState& member, Moment now, Effects& effects);
-/// Takes what an answer says about its sender, after its values were learned. A data node relies on its sender's proof;
-/// a control process has only its own.
+/// Takes what an answer says about its sender, after its values were learned. A data node relies on its sender's proof,
+/// which is of the sender's version: where that is newer, the proof holds here once that version does. A control
+/// process has only its own.
 void news_answered(NewsState& state, const MemberState& member, const wire::Envelope& envelope, Moment now);
 /// Asks every core node what it has accepted, until a starting node knows enough.
-void news_ask_all(const NewsState& state, const MemberState& member, const wire::Core& core, Effects& effects);
+void news_ask_all(const NewsState& state, const MemberState& member, const wire::Core& core, Moment now,
+                  Effects& effects);
 /// Answers a starting node with the values that it doesn't name as known, and with what this disk has accepted.
 void news_answer_first(NewsState& state, const AcceptorState& acceptor, const MemberState& member,
                        const wire::Core& core, const wire::Envelope& envelope, Moment now, Effects& effects);
--- a/src/core/configuration/newssources.cpp
+++ b/src/core/configuration/newssources.cpp
@@ -2,6 +2,7 @@
 
 #include "core/configuration/fetch.hpp"
 #include "core/configuration/serve.hpp"
+#include "core/consensus/duty.hpp"
 #include "core/membership/rendezvous.hpp"
 
 /// Which control processes a node asks for news, and when it moves on to others.
@@ -117,13 +118,29 @@
   ask_neighbour(state, member, now, effects);
 }
 
+namespace {
+
+/// Proofs that may be awaited; the oldest give way.
+constexpr std::size_t awaited_most = 64;
+
+/// The sender's proof is of its own version of the configuration: the one here, unless it offers a newer one.
+void take_proof(NewsState& state, const wire::News& news) {
+  const auto as_of = static_cast<Moment>(news.asked_ms()) - static_cast<Moment>(news.majority_age_ms());
+  const auto offer = std::ranges::find(news.offers(), config_key, &wire::Known::key);
+  if (offer == news.offers().end() || offer->version() <= news_version(state, config_key))
+    return news_prove_current(state, as_of);
+  const auto awaited = state.awaited_proofs.try_emplace(offer->version(), as_of).first;
+  awaited->second = std::max(awaited->second, as_of);
+  if (state.awaited_proofs.size() > awaited_most) state.awaited_proofs.erase(state.awaited_proofs.begin());
+}
+
+}  // namespace
+
 void news_answered(NewsState& state, const MemberState& member, const wire::Envelope& envelope, Moment now) {
   const auto& news = envelope.news();
   const bool aged = news.asked_ms() != 0;
   const auto age = static_cast<Moment>(news.majority_age_ms());
-  // The sender's proof is of its own configuration: it says nothing of the one here while that is still to be fetched.
-  const bool relies = member.options.program == Program::data && !fetch_behind(state);
-  if (relies && aged && news.majority_met()) news_prove_current(state, static_cast<Moment>(news.asked_ms()) - age);
+  if (member.options.program == Program::data && aged && news.majority_met()) take_proof(state, news);
   const auto found = state.sources.find(envelope.from());
   if (found == state.sources.end()) return;
   auto& source = found->second;
--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -20,7 +20,7 @@
 void ask_first(DataState& state, Moment now, Effects& effects) {
   if (state.document_version != 0 || now - state.first_asked < member_beat(state.member)) return;
   state.first_asked = now;
-  news_ask_all(state.news, state.member, state.formation.core, effects);
+  news_ask_all(state.news, state.member, state.formation.core, now, effects);
 }
 
 bool may_begin_with(const DataState& state, std::uint64_t version, Moment now) {
@@ -35,7 +35,7 @@
   return true;
 }
 
-void use_news(DataState& state, Moment now, Effects& effects) {
+void use_config(DataState& state, Moment now, Effects& effects) {
   const auto config = state.news.values.find(config_key);
   const auto version = config == state.news.values.end() ? 0 : config->second.version();
   const bool allowed =
@@ -52,6 +52,12 @@
         reroute_held(state, now, effects);
     }
   }
+  // A proof is of the newest version here, which may still be on its way to the disk.
+  if (version != 0 && version == state.document_version) state.current_as_of = state.news.current_as_of;
+}
+
+void use_news(DataState& state, Moment now, Effects& effects) {
+  use_config(state, now, effects);
   const auto placement = state.news.values.find(placement_key);
   if (placement == state.news.values.end() || placement->second.version() <= state.placement_version) return;
   wire::Placement value;
@@ -190,6 +196,8 @@
   state.options = options;
   state.member.options = options.member;
   state.member.options.program = Program::data;
+  // The product's own interface has one bound for all.
+  if (options.dialect == nullptr) state.options.limits.adopt = options.member.bound;
   const auto bound = options.member.bound;
   state.hold.limit = options.held_limit;
   state.memo.enabled = options.has_folder;
--- a/src/core/data.hpp
+++ b/src/core/data.hpp
@@ -106,6 +106,9 @@
   PathState path;
   std::optional<ConfigDocument> document;
   std::uint64_t document_version = 0;
+  /// Up to this moment nothing newer than the version in force had been acknowledged to anybody; nothing before the
+  /// first proof of this life.
+  std::optional<Moment> current_as_of;
   std::set<std::uint64_t> first_heard;
   std::uint64_t first_floor = 0;
   Moment first_asked = 0;
@@ -125,6 +128,9 @@
   std::map<std::string, PrefixMemory> prefixes;
   std::map<std::string, std::map<std::string, CarryCounter>> counters;
   Totals totals;
+  /// Refusals for want of a place in the configuration that became 503, as no proof was young enough, by the status
+  /// that they would have had.
+  std::map<int, std::uint64_t> unproved_refusals;
   /// As the shell told it last.
   TransportFigures transport;
   Moment next_report = 0;
@@ -139,9 +145,15 @@
 /// True while a newer configuration than the one in force is known to be committed: what the older one doesn't allow
 /// may be allowed by now.
 bool configuration_newer_known(const DataState& state);
-/// True while a newer configuration than the one in force is known to be committed and has been due here for so long,
-/// from the network or the disk, that the older one isn't to be served on.
-bool configuration_outdated(const DataState& state, Moment now);
+/// True when no version newer than the one in force had been acknowledged for the time in which it must be in force
+/// (`Limits::adopt`) when a request arrived: whatever is acknowledged by now, the request may be judged by this one.
+bool configuration_proved(const DataState& state, Moment arrived);
+/// True while a newer configuration than the one in force is known to be committed and a request arrived too late to be
+/// served by the older one, or the newer one waits too long for the disk. A node that knows of nothing newer goes on
+/// serving, with or without a proof: it may be cut off.
+bool configuration_outdated(const DataState& state, Moment arrived, Moment now);
+/// The newest version that is known to be committed.
+std::uint64_t configuration_known(const DataState& state);
 
 /// How a request is refused that has not run.
 struct Refusal {
@@ -150,9 +162,9 @@
   /// When to come back; 0 where that is no use.
   Moment retry_after;
 };
-/// How a request is refused that the configuration in force has no place for: by the given status and reason, or to
-/// come back soon while a newer configuration is known, which may have a place for it.
-Refusal refuse_unplaced(const DataState& state, int status, const char* reason);
+/// How a request is refused that the configuration in force has no place for: by the given status and reason where it
+/// is proved that no newer one need have a place for it, else to come back soon.
+Refusal refuse_unplaced(DataState& state, int status, const char* reason, Moment arrived, Moment now, Effects& effects);
 
 DataState make_data(const DataOptions& options);
 /// One step of a data-plane process.
--- a/src/core/event.hpp
+++ b/src/core/event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -55,7 +56,13 @@
   std::string authority = {};
   /// Number of the listener through which it came.
   int door = 0;
+  /// When it was read whole; nothing where that is the moment of the step.
+  std::optional<Moment> read_at = {};
 };
+
+/// When a request arrived here, if it is taken now.
+inline Moment arrival(const RequestArrived& request, Moment now) { return request.read_at.value_or(now); }
+
 /// The one who asked has gone.
 struct RequestGone {
   std::uint64_t request;
--- a/src/core/forwarding/assign.cpp
+++ b/src/core/forwarding/assign.cpp
@@ -100,7 +100,7 @@
 }
 
 const WorkerView* assign_worker(const DataState& state, const Carry& carry, Moment now) {
-  if (!state.document || configuration_outdated(state, now)) return nullptr;
+  if (!state.document || configuration_outdated(state, carry.arrived, now)) return nullptr;
   auto candidates = candidates_of(state, carry, now);
   const auto nodes = std::max<std::uint64_t>(1, live_members(state.member, Program::data).size());
   std::erase_if(candidates, [&](const Candidate& item) { return worker_full(state, item, nodes); });
--- a/src/core/forwarding/paths/move.cpp
+++ b/src/core/forwarding/paths/move.cpp
@@ -144,10 +144,10 @@
     return wait_or_give_up("budget");
   set_waits(state, carry, false);
   if (const auto placing = path_place(state, carry); placing != Placing::placed) {
-    const auto refusal = path_refusal(state, placing);
+    const auto refusal = path_refusal(state, placing, carry.arrived, now, effects);
     return give_up(refusal.reason, refusal.status);
   }
-  if (configuration_outdated(state, now)) return wait_or_give_up("newer_configuration");
+  if (configuration_outdated(state, carry.arrived, now)) return wait_or_give_up("newer_configuration");
   if (!path_will_finish(state, carry, now)) {
     if (!may_have_run && !carry.answer_begun) ++state.path.leaving.refused_held;
     return give_up("leaving");
--- a/src/core/forwarding/paths/path.hpp
+++ b/src/core/forwarding/paths/path.hpp
@@ -37,7 +37,7 @@
 /// Brings a request in line with the configuration in force, which decides its route and its tenant together.
 Placing path_place(const DataState& state, PathCarry& carry);
 /// How a request is refused that wasn't placed.
-Refusal path_refusal(const DataState& state, Placing placing);
+Refusal path_refusal(DataState& state, Placing placing, Moment arrived, Moment now, Effects& effects);
 /// Why no worker was chosen, where none was.
 enum class Lack { none, model, adapter, worker };
 struct Choice {
--- a/src/core/forwarding/paths/take.cpp
+++ b/src/core/forwarding/paths/take.cpp
@@ -55,9 +55,12 @@
   const auto call = state.options.dialect->read_call(event);
   if (!call) return refuse(state, event.request, 400, 0, effects);
   const auto wait = std::min(call->wait > 0 ? call->wait : state.options.member.bound, state.options.member.bound);
+  auto held = event;
+  held.read_at = arrival(event, now);
   const bool full = state.path.early.size() >= state.options.backlog_limit || state.member.leaving;
   if (full) return refuse(state, event.request, 503, state.options.member.bound / early_parts, effects);
-  state.path.early[event.request] = {now + wait * 2 / early_parts, event};
+  const auto due = *held.read_at + wait * 2 / early_parts;
+  state.path.early[event.request] = {due, std::move(held)};
 }
 
 }  // namespace
@@ -107,9 +110,9 @@
   return service != config.services.end() ? Placing::placed : Placing::no_route;
 }
 
-Refusal path_refusal(const DataState& state, Placing placing) {
-  if (placing == Placing::key_unknown) return refuse_unplaced(state, 401, "key_unknown");
-  return refuse_unplaced(state, 404, "no_route");
+Refusal path_refusal(DataState& state, Placing placing, Moment arrived, Moment now, Effects& effects) {
+  if (placing == Placing::key_unknown) return refuse_unplaced(state, 401, "key_unknown", arrived, now, effects);
+  return refuse_unplaced(state, 404, "no_route", arrived, now, effects);
 }
 
 void path_take(DataState& state, const RequestArrived& event, Moment now, Effects& effects) {
@@ -120,6 +123,7 @@
     return effects.push_back(Answer{event.request, status, {}, {}});
   }
   if (!path.config || !path.fleet.known) return hold_early(state, event, now, effects);
+  const auto arrived = arrival(event, now);
   PathCarry carry;
   auto call = state.options.dialect->read_call(event);
   if (!call) return refuse(state, event.request, 400, 0, effects);
@@ -127,16 +131,16 @@
   carry.path = event.path;
   const auto placing = path_place(state, carry);
   if (placing != Placing::placed || event.body.size() > path.config->limits.body_bytes) {
-    const auto refusal =
-        placing == Placing::placed ? refuse_unplaced(state, 413, "too_large") : path_refusal(state, placing);
+    const auto refusal = placing == Placing::placed ? refuse_unplaced(state, 413, "too_large", arrived, now, effects)
+                                                    : path_refusal(state, placing, arrived, now, effects);
     return refuse(state, event.request, refusal.status, refusal.retry_after, effects);
   }
   carry.request = event.request;
   carry.method = event.method;
   carry.target = event.target;
   carry.body = event.body;
-  carry.arrived = carry.phases.since = now;
-  carry.due = now + std::min(carry.route.due, carry.call.wait > 0 ? carry.call.wait : carry.route.due);
+  carry.arrived = carry.phases.since = arrived;
+  carry.due = arrived + std::min(carry.route.due, carry.call.wait > 0 ? carry.call.wait : carry.route.due);
   if (!path_will_finish(state, carry, now)) {
     ++state.totals.not_run;
     ++path.leaving.refused;
--- a/src/core/forwarding/take.cpp
+++ b/src/core/forwarding/take.cpp
@@ -90,15 +90,16 @@
     ++state.totals.not_run;
     refuse_caller(event.request, status, code, "not_run", retry_after, effects);
   };
+  const auto arrived = arrival(event, now);
   const auto place = read_place(event.path);
   if (!place) return refuse(404, "no_such_path");
   if (event.method != "POST") return refuse(405, "method_not_allowed");
   if (event.body.size() > state.options.body_limit) return refuse(413, "too_large");
   if (state.member.leaving || own_node_drained(state)) return refuse(503, "leaving", 1);
   if (!state.document) return refuse(503, "no_configuration", 2);
-  if (configuration_outdated(state, now)) return refuse(503, "newer_configuration", 1);
+  if (configuration_outdated(state, arrived, now)) return refuse(503, "newer_configuration", 1);
   const auto refuse_unknown = [&](const char* code) {
-    const auto refusal = refuse_unplaced(state, 404, code);
+    const auto refusal = refuse_unplaced(state, 404, code, arrived, now, effects);
     refuse(refusal.status, refusal.reason, static_cast<int>(refusal.retry_after / 1000));
   };
   const auto tenant = state.document->tenants.find(place->tenant);
@@ -128,11 +129,11 @@
     carry.claim->key = place->tenant + "/" + place->route + "/" + key;
     carry.claim->claimer = carry.run;
   }
-  carry.arrived = now;
+  carry.arrived = arrived;
   carry.ledger.kind = carry.route.kind;
   carry.ledger.resumable = carry.route.resumable;
-  carry.ledger.due = now + *due;
-  carry.ledger.hold_due = now + std::min(*due, state.options.hold_limit);
+  carry.ledger.due = arrived + *due;
+  carry.ledger.hold_due = arrived + std::min(*due, state.options.hold_limit);
   auto& pool = state.pools[carry.pool];
   pool.last_used = now;
   if (!carry.route.adapter.empty()) pool.adapters[carry.route.adapter] = now;
--- a/src/core/operations/commonmetrics.cpp
+++ b/src/core/operations/commonmetrics.cpp
@@ -96,6 +96,9 @@
   text.seconds(now - since);
   text.gauge("configuration_proof_age_seconds", "Age of the last proof that the configuration here is the newest.");
   if (news.current_as_of) text.seconds(now - *news.current_as_of);
+  const auto& adoption = news.delivery.adoption;
+  text.histogram("configuration_adoption_seconds", "Time from the first word of a version until it was here.");
+  text.buckets(adoption_buckets, adoption.counts, adoption.sum, {});
 }
 
 }  // namespace
--- a/src/core/operations/datametrics.cpp
+++ b/src/core/operations/datametrics.cpp
@@ -17,6 +17,10 @@
     if (reason != "finished") text.sample(count, {{"reason", reason}});
   text.counter("requests_refused_total", "Requests by host and path that were refused when they came, by status.");
   for (const auto& [status, count] : state.path.refusals) text.sample(count, {{"status", std::to_string(status)}});
+  text.counter("requests_refused_unproved_total",
+               "Requests answered 503, as it wasn't proved that no newer configuration has a place for them, by the "
+               "status that they would have had.");
+  for (const auto& [status, count] : state.unproved_refusals) text.sample(count, {{"status", std::to_string(status)}});
   const auto& leaving = state.path.leaving;
   text.counter("leaving_requests_total", "Requests by host and path since this node was told to leave, by outcome.");
   text.sample(leaving.taken, {{"outcome", "taken"}}).sample(leaving.refused, {{"outcome", "refused"}});
--- a/src/core/outdated.cpp
+++ b/src/core/outdated.cpp
@@ -1,6 +1,10 @@
+#include <algorithm>
+
 #include "core/configuration/fetch.hpp"
+#include "core/consensus/duty.hpp"
 #include "core/data.hpp"
 
+/// What a data node may do under the configuration in force, and what a newer one may forbid.
 namespace weldsail {
 namespace {
 
@@ -8,6 +12,8 @@
 /// fixed time for those that name their tenant.
 constexpr Moment newer_parts = 6;
 constexpr Moment newer_pause = 1000;
+/// Clocks run within a hundredth of real time, and a proof's age is told by two of them.
+constexpr Moment clock_error_parts = 50;
 
 }  // namespace
 
@@ -15,14 +21,36 @@
   return fetch_behind(state.news) || state.memo.wanted > state.memo.version;
 }
 
-bool configuration_outdated(const DataState& state, Moment now) {
-  return memo_late(state.memo, now) || fetch_late(state.news, now);
+bool configuration_proved(const DataState& state, Moment arrived) {
+  const auto adopt = state.options.limits.adopt;
+  return state.current_as_of && *state.current_as_of >= arrived - (adopt - adopt / clock_error_parts);
+}
+
+bool configuration_outdated(const DataState& state, Moment arrived, Moment now) {
+  return memo_late(state.memo, now) || (configuration_newer_known(state) && !configuration_proved(state, arrived));
+}
+
+std::uint64_t configuration_known(const DataState& state) {
+  const auto& missing = state.news.delivery.missing;
+  const auto newest = missing.empty() ? 0 : missing.rbegin()->first;
+  return std::max({newest, state.document_version, news_version(state.news, config_key)});
 }
 
-Refusal refuse_unplaced(const DataState& state, int status, const char* reason) {
-  if (!configuration_newer_known(state)) return {status, reason, 0};
+Refusal refuse_unplaced(DataState& state, int status, const char* reason, Moment arrived, Moment now,
+                        Effects& effects) {
+  const bool newer = configuration_newer_known(state);
+  const bool proved = configuration_proved(state, arrived);
+  if (!newer && !proved) ++state.unproved_refusals[status];
+  note(effects, "request.unplaced",
+       {{"reason", reason},
+        {"version", std::to_string(state.document_version)},
+        {"known", std::to_string(configuration_known(state))},
+        {"proof_age_ms", state.current_as_of ? std::to_string(now - *state.current_as_of) : "none"},
+        {"waited_ms", std::to_string(now - arrived)}});
+  if (!newer && proved) return {status, reason, 0};
   const auto bound = state.options.member.bound;
-  return {503, "newer_configuration", state.options.dialect != nullptr ? bound / newer_parts : newer_pause};
+  const auto pause = state.options.dialect != nullptr ? bound / newer_parts : newer_pause;
+  return {503, newer ? "newer_configuration" : "configuration_unproved", pause};
 }
 
 }  // namespace weldsail
--- a/src/shell/server.cpp
+++ b/src/shell/server.cpp
@@ -92,6 +92,7 @@
     event.headers.push_back({text_of(*header.name), text_of(header.value)});
   }
   event.target = text_of(request->input.path);
+  event.read_at = monotonic_now();
   const auto& authority = request->input.authority;
   // Without a Host header h2o puts its own host's name there.
   if (authority.base != request->hostconf->authority.hostport.base) event.authority = text_of(authority);
--- a/test/sim/scenarios.hpp
+++ b/test/sim/scenarios.hpp
@@ -66,6 +66,10 @@
 /// Random walks of the model checker, far beyond the depth of its exhaustive search.
 ScenarioResult run_model(std::uint64_t seed);
 
+/// Routes and keys that come and go while news is late at some nodes, owners are lost and nodes are cut off: what data
+/// nodes refuse and run, judged by a plain model of what was acknowledged when.
+ScenarioResult run_late_news(std::uint64_t seed);
+
 /// The model checker's exhaustive searches, so many steps deeper than in the tests.
 ScenarioResult run_model_search(std::uint64_t deeper);
 
--- a/test/sim/world.hpp
+++ b/test/sim/world.hpp
@@ -126,6 +126,8 @@
   std::function<void(const SimNode&, const Event&, Moment local)> stepping;
   /// Called after every step of a node.
   std::function<void(SimNode&)> stepped;
+  /// How much longer than others a message takes on its way.
+  std::function<Moment(const std::string& from, const std::string& to, wire::Envelope::BodyCase body)> held_up;
   /// Called for every message that a node sends, with its bytes on the wire.
   std::function<void(const SimNode&, const SendMessage&, std::size_t bytes)> sent;
   /// Called for every pipe that a node opens.
--- a/test/sim/worldio.cpp
+++ b/test/sim/worldio.cpp
@@ -32,7 +32,8 @@
   const auto leaves = own ? now_ : links.carry(node.address, LinkSide::out, body, size, now_);
   if (!nodes_.contains(effect.address) || (!own && chance.happens(loss))) return;
   const auto from = node.address;
-  const auto delay = own ? 0 : chance.between(0, delay_most);
+  const auto more = own || !held_up ? 0 : held_up(node.address, effect.address, body);
+  const auto delay = more + (own ? 0 : chance.between(0, delay_most));
   auto bytes = effect.envelope.SerializeAsString();
   if (node.former || nodes_.at(effect.address).former) bytes = former_shape(bytes, node.former);
   const auto taken = [this, from, to = effect.address, body, bytes] { receive(from, to, body, bytes); };
--- a/test/unit/fetchbench.hpp
+++ b/test/unit/fetchbench.hpp
@@ -155,8 +155,10 @@
       if (!process.former) fetch_offered(process.news, process.member, envelope, offer, now, effects);
     const auto before = process.news.current_as_of;
     news_answered(process.news, process.member, envelope, now);
-    if (version(address) < process.told && process.member.options.program == Program::data)
-      CHECK(process.news.current_as_of == before);
+    // A sender's proof is of its own version: it proves nothing of an older one here.
+    const bool offers_newer = std::ranges::any_of(
+        envelope.news().offers(), [&](const wire::Known& offer) { return version(address) < offer.version(); });
+    if (offers_newer && process.member.options.program == Program::data) CHECK(process.news.current_as_of == before);
   }
 
   void take_part(const std::string& address, const wire::Envelope& envelope, Effects& effects) {
--- a/test/unit/pathbench.hpp
+++ b/test/unit/pathbench.hpp
@@ -26,7 +26,7 @@
     return options;
   }
 
-  /// Takes a configuration: `extra` are more routes, `more` are more members of the document.
+  /// Takes a configuration, proved to be the newest: `extra` are more routes, `more` are more members of the document.
   void configure(std::uint64_t revision, const std::string& extra = {}, const std::string& more = {}) {
     const std::string routes =
         R"([{"label":"a","host":"h","path_prefix":"/chat/","mode":"stream","deadline_ms":12000,"setpoint_ms":400,"precedence":1,"plant":"chat","trials":2,"pinned":true,"continue":true,"gap_setpoint_ms":300},)"
@@ -39,10 +39,14 @@
                    R"({"revision":)" + std::to_string(revision) + R"(,"route_table":)" + routes + R"(,"plants":)" +
                        plants + more + "}",
                    now, effects);
+    prove();
     REQUIRE(state.path.config);
     REQUIRE(state.path.config->revision == revision);
   }
 
+  /// As though a source had just proved that the configuration in force is the newest.
+  void prove() { state.current_as_of = now; }
+
   static wire::WorkerEntry worker(const std::string& identity, const std::string& service, bool draining = false) {
     wire::WorkerEntry entry;
     entry.set_identity(identity);
--- a/test/unit/unknownroutes.cpp
+++ b/test/unit/unknownroutes.cpp
@@ -4,7 +4,8 @@
 /// What a data node answers to a request that the configuration here has no place for, at each moment of its life. The
 /// users' rules: 404 for what all configurations of the day allow counts from any machine, in touch or not, and who
 /// knows no configuration yet answers 503 (DENIED); in touch, nothing is refused any more that a version acknowledged
-/// for longer than the bound allows (CONFIG). A node that is cut off and has heard of nothing newer may answer 404.
+/// for longer than the bound allows (CONFIG). So 404 needs a proof that nothing newer had been acknowledged for that long
+/// when the request arrived; a node that is cut off has none, and answers 503.
 using namespace weldsail;
 using namespace weldsail::unit;
 
@@ -47,6 +48,9 @@
     for (const auto until = now + time; now < until; now += 25) reduce(state, Ticked{1}, now);
   }
 
+  /// As though a source had just proved that the configuration in force is the newest.
+  void prove() { state.current_as_of = now; }
+
   void hear_of(std::uint64_t version) {
     wire::Known known;
     known.set_key(config_key);
@@ -103,22 +107,59 @@
   CHECK(life.status("/seat/x", 9U << 20U) == 413);
 }
 
-TEST_CASE("a node that is behind answers 503 in place of 404 and 413, after half a bound to all") {
+TEST_CASE("a node that is behind answers 503 in place of 404 and 413, and without a young proof to all") {
   auto life = begun_life();
+  const auto adopt = life.state.options.limits.adopt;
   life.have(2);
   life.hear_of(3);
+  life.prove();
+  const auto proved = life.now;
   CHECK(life.status("/seat/x") == 0);
   CHECK(life.status("/none/x") == 503);
   CHECK(life.status("/seat/x", 9U << 20U) == 503);
-  life.pass(2000);
+  life.now = proved + adopt * 49 / 50;
+  CHECK(life.status("/seat/x") == 0);
+  life.now = proved + adopt;
   CHECK(life.status("/seat/x") == 503);
   CHECK(life.status("/none/x") == 503);
-  // It has caught up: what it doesn't have now is nowhere.
+  // It has caught up, and hears that this is the newest: what it doesn't have now is nowhere.
   life.have(3);
   CHECK(life.status("/seat/x") == 0);
+  CHECK(life.status("/none/x") == 503);
+  life.prove();
+  CHECK(life.status("/none/x") == 404);
+}
+
+// Guards against a 404 by a node that had heard of nothing newer, 2.5 s after an acknowledgement (incident 45).
+TEST_CASE("a node whose last proof is older than a new version may take answers 503 in place of 404 and 413") {
+  auto life = begun_life();
+  const auto adopt = life.state.options.limits.adopt;
+  life.prove();
+  const auto proved = life.now;
+  life.now = proved + adopt * 49 / 50;
+  CHECK(life.status("/none/x") == 404);
+  CHECK(life.status("/seat/x", 9U << 20U) == 413);
+  life.now = proved + adopt;
+  CHECK(life.status("/none/x") == 503);
+  CHECK(life.status("/seat/x", 9U << 20U) == 503);
+  CHECK(life.status("/seat/x") == 0);
+  CHECK(life.state.unproved_refusals == std::map<int, std::uint64_t>{{404, 1}, {413, 1}});
+  life.prove();
   CHECK(life.status("/none/x") == 404);
 }
 
+TEST_CASE("a request is judged by the moment at which it was read, not by that of its turn") {
+  auto life = begun_life();
+  life.prove();
+  auto request = request_to("/none/x", 1000);
+  request.read_at = life.now + life.state.options.limits.adopt / 2;
+  const auto effects = reduce(life.state, request, life.now + 2 * life.state.options.limits.adopt);
+  const auto found =
+      std::ranges::find_if(effects, [](const Effect& effect) { return std::holds_alternative<Answer>(effect); });
+  REQUIRE(found != effects.end());
+  CHECK(std::get<Answer>(*found).status == 404);
+}
+
 TEST_CASE("a node that is cut off and has heard of nothing newer never refuses a route that it has") {
   auto life = begun_life();
   for (int turn = 0; turn < 10; ++turn) {
@@ -126,8 +167,8 @@
     const auto known = life.status("/seat/x");
     CAPTURE(turn, known);
     CHECK((known == 0 || known == 503 || known == 504));
-    // The rules allow it: a route that all configurations of the day have, this one has, too.
-    CHECK(life.status("/none/x") == 404);
+    // It can't know whether a newer version has it.
+    CHECK(life.status("/none/x") == 503);
   }
   // As soon as it hears of a newer version, it can't tell any more.
   life.hear_of(9);
--- a/test/wssim/main.cpp
+++ b/test/wssim/main.cpp
@@ -56,6 +56,7 @@
       {"secondloss", weldsail::sim::run_second_loss},
       {"longhistory", weldsail::sim::run_long_history},
       {"cutoff", weldsail::sim::run_cutoff},
+      {"latenews", weldsail::sim::run_late_news},
       {"delivery", weldsail::sim::run_delivery},
       {"model", weldsail::sim::run_model},
       {"model-search", weldsail::sim::run_model_search},
