--- a/src/core/configuration/news.cpp
+++ b/src/core/configuration/news.cpp
@@ -171,13 +171,18 @@
 void news_heard(NewsState& state, const MemberState& member, const wire::Envelope& envelope, Moment now,
                 Effects& effects) {
   const bool data = member.options.program == Program::data;
-  if ((news_proved(state, now) || !data) && is_data(member, envelope.from())) return;
-  for (const auto& item : envelope.ping().known())
-    if (!(data && state.control_only.contains(item.key())) && newer(state, item.key(), item.version())) {
-      fetch_missing(state, item, now);
+  const bool from_data = is_data(member, envelope.from());
+  if (from_data && !data) return;
+  for (const auto& item : envelope.ping().known()) {
+    if (data && state.control_only.contains(item.key())) continue;
+    if (!newer(state, item.key(), item.version())) continue;
+    fetch_missing(state, item, now);
+    if (!from_data || !news_proved(state, now))
       news_send_ask(state, member, envelope.from(), envelope.address(), now, effects);
-      return;
-    }
+    else if (!state.delivery.fetches.contains(item.key()))
+      ask_soon(state, now);
+    return;
+  }
 }
 
 }  // namespace weldsail
--- a/src/core/configuration/news.hpp
+++ b/src/core/configuration/news.hpp
@@ -74,7 +74,8 @@
 /// Answers another data node's ask where there is news, and keeps nothing: a data node is nobody's steady source.
 void news_asked_once(NewsState& state, const MemberState& member, const wire::Core& core,
                      const wire::Envelope& envelope, Moment now, Effects& effects);
-/// Asks the sender of a ping that knows more than this node; a data node only when the sources have failed.
+/// Takes note of a newer version that a ping names, and asks for it: its sender, or the own sources where that is a
+/// data node and these haven't failed.
 void news_heard(NewsState& state, const MemberState& member, const wire::Envelope& envelope, Moment now,
                 Effects& effects);
 
--- a/test/unit/unknownroutes.cpp
+++ b/test/unit/unknownroutes.cpp
@@ -4,8 +4,8 @@
 /// What a data node answers to a request that the configuration here has no place for, at each moment of its life. The
 /// users' rules: 404 for what all configurations of the day allow counts from any machine, in touch or not, and who
 /// knows no configuration yet answers 503 (DENIED); in touch, nothing is refused any more that a version acknowledged
-/// for longer than the bound allows (CONFIG). So 404 needs a proof that nothing newer had been acknowledged for that long
-/// when the request arrived; a node that is cut off has none, and answers 503.
+/// for longer than the bound allows (CONFIG). So 404 needs a proof that nothing newer had been acknowledged for that
+/// long when the request arrived; a node that is cut off has none, and answers 503.
 using namespace weldsail;
 using namespace weldsail::unit;
 
@@ -174,3 +174,27 @@
   life.hear_of(9);
   CHECK(life.status("/none/x") == 503);
 }
+
+// Guards against a hint that is dropped: the ping of a data node that has a newer version (incident 45).
+TEST_CASE("a node that hears of a newer version from another data node answers 503 in place of 404, proof or not") {
+  auto life = begun_life();
+  life.have(2);
+  constexpr std::uint64_t neighbour = 7;
+  wire::Envelope envelope;
+  envelope.set_from(neighbour);
+  envelope.set_address("d7");
+  auto* entry = envelope.mutable_ping()->add_members();
+  entry->set_node(neighbour);
+  entry->set_address("d7");
+  entry->set_program(static_cast<std::uint32_t>(Program::data));
+  auto* known = envelope.mutable_ping()->add_known();
+  known->set_key(config_key);
+  known->set_version(3);
+  life.prove();
+  news_prove_current(life.state.news, life.now);
+  CHECK(life.status("/none/x") == 404);
+  life.prove();
+  reduce(life.state, MessageArrived{envelope}, life.now);
+  CHECK(life.status("/none/x") == 503);
+  CHECK(life.status("/seat/x") == 0);
+}
