--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -1,63 +1,16 @@
-#include "core/data.hpp"
-
 #include <algorithm>
 
 #include "core/configuration/fetch.hpp"
 #include "core/configuration/serve.hpp"
+#include "core/dataparts.hpp"
 #include "core/forwarding/paths/path.hpp"
 #include "core/operations/metrics.hpp"
 
 namespace weldsail {
 namespace {
 
-void hear_first(DataState& state, const wire::Envelope& envelope) {
-  if (state.document_version != 0 || envelope.news().accepted_size() == 0) return;
-  state.first_heard.insert(envelope.disk());
-  for (const auto& item : envelope.news().accepted())
-    if (item.key() == config_key) state.first_floor = std::max(state.first_floor, item.version());
-}
-
-void ask_first(DataState& state, Moment now, Effects& effects) {
-  if (state.document_version != 0 || now - state.first_asked < member_beat(state.member)) return;
-  state.first_asked = now;
-  news_ask_all(state.news, state.member, state.formation.core, now, effects);
-}
-
-bool may_begin_with(const DataState& state, std::uint64_t version, Moment now) {
-  if (memo_suffices(state.memo, version, now)) return true;
-  return core_majority(state.formation.core, state.first_heard) && version >= state.first_floor;
-}
-
-bool read_document(DataState& state, const std::string& document) {
-  auto read = state.options.dialect != nullptr ? ReadConfig{} : read_config(document);
-  if (!read.faults.empty()) return false;
-  state.document = std::move(read.document);
-  return true;
-}
-
-void use_config(DataState& state, Moment now, Effects& effects) {
-  const auto config = state.news.values.find(config_key);
-  const auto version = config == state.news.values.end() ? 0 : config->second.version();
-  const bool allowed =
-      version > state.document_version && (state.document_version != 0 || may_begin_with(state, version, now));
-  if (allowed && memo_keep(state.memo, state.member, state.news, version, now, effects)) {
-    wire::ConfigValue value;
-    if (value.ParseFromString(config->second.value()) && read_document(state, value.document())) {
-      state.document_version = version;
-      member_config(state.member, version);
-      note(effects, "config.in_force", {{"version", std::to_string(state.document_version)}});
-      if (state.options.dialect != nullptr)
-        path_configure(state, value.document(), now, effects);
-      else
-        reroute_held(state, now, effects);
-    }
-  }
-  // A proof is of the newest version here, which may still be on its way to the disk.
-  if (version != 0 && version == state.document_version) state.current_as_of = state.news.current_as_of;
-}
-
 void use_news(DataState& state, Moment now, Effects& effects) {
-  use_config(state, now, effects);
+  data_use_config(state, now, effects);
   const auto placement = state.news.values.find(placement_key);
   if (placement == state.news.values.end() || placement->second.version() <= state.placement_version) return;
   wire::Placement value;
@@ -90,7 +43,7 @@
     for (const auto& offer : envelope.news().offers())
       fetch_offered(state.news, state.member, envelope, offer, now, effects);
     news_answered(state.news, state.member, envelope, now);
-    hear_first(state, envelope);
+    data_hear_first(state, envelope);
     use_news(state, now, effects);
   }
   if (envelope.has_value_part())
@@ -146,7 +99,7 @@
   news_tick(state.news, state.member, now, effects);
   operate_tick(state.operate, state.bulk, state.member, now, effects);
   watch_tick(state.watch, state.numbers, now, effects);
-  ask_first(state, now, effects);
+  data_ask_first(state, now, effects);
   use_news(state, now, effects);
   claims_tick(state, now, effects);
   break_dark(state, now, effects);
--- /dev/null
+++ b/src/core/eventlane.hpp
@@ -0,0 +1,15 @@
+#pragma once
+#include "core/control.hpp"
+#include "core/data.hpp"
+
+namespace weldsail {
+
+/// Where an event waits for the process's one thread: before all others, with the urgent ones, or after these.
+enum class EventLane { first, urgent, later };
+
+/// A data-plane process takes everything in the order in which it came, but for what tells of configurations: a request
+/// is judged by all of that which was read before it is taken.
+EventLane event_lane(const DataState& state, const Event& event);
+EventLane event_lane(const ControlState& state, const Event& event);
+
+}  // namespace weldsail
--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -4,9 +4,8 @@
 
 #include <utility>
 
-#include "core/control.hpp"
-#include "core/data.hpp"
 #include "core/eventkind.hpp"
+#include "core/eventlane.hpp"
 #include "core/json.hpp"
 
 namespace weldsail {
@@ -29,15 +28,6 @@
 constexpr std::string_view read_kind = "read";
 constexpr std::string_view write_kind = "write";
 
-/// A data-plane process takes everything in the order in which it came, but for what tells of configurations: a request
-/// is judged by all of that which was read before it is taken.
-bool may_wait(const DataState&, const Event&) { return false; }
-bool goes_first(const DataState&, const Event& event) {
-  const auto* message = std::get_if<MessageArrived>(&event);
-  return message != nullptr && (message->envelope.has_news() || message->envelope.has_value_part());
-}
-bool goes_first(const ControlState&, const Event&) { return false; }
-
 /// What a process that has departed answers: nothing was run, which callers of the product's own interface hear in its
 /// words.
 template <typename State>
@@ -146,12 +136,11 @@
 
 template <typename State>
 void Node<State>::put(Event event) {
-  if (goes_first(state_, event))
-    queue_.put_first(std::move(event));
-  else if (may_wait(state_, event))
-    queue_.put_later(std::move(event), monotonic_now());
-  else
-    queue_.put_urgent(std::move(event));
+  switch (event_lane(state_, event)) {
+    case EventLane::first: return queue_.put_first(std::move(event));
+    case EventLane::urgent: return queue_.put_urgent(std::move(event));
+    case EventLane::later: return queue_.put_later(std::move(event), monotonic_now());
+  }
 }
 
 template <typename State>
