Soak: routes of a deployment have keys of tenants, which come with changes; workers judge what they are shown

A 404 or a 401 for what was acknowledged over 3 s before is a breach whatever troubles the process, since it needs a proof now; up to there a troubled process is excused as before.

--- a/test/soak/deploymentform.cpp
+++ b/test/soak/deploymentform.cpp
@@ -26,10 +26,21 @@
   return text + "]";
 }
 
+std::string key_of(std::size_t route) { return "key-" + std::to_string(route); }
+
+/// A tenant for each route, so that a change brings keys with its routes.
+std::string tenants_text(std::size_t from, std::size_t until) {
+  std::string text;
+  for (auto number = from; number < until; ++number)
+    text += R"({"label":"tenant-)" + std::to_string(number) + R"(","credentials":[")" + key_of(number) + R"("]},)";
+  return "[" + text + ModelCallers::tenant_text() + "]";
+}
+
 std::string first_document(std::size_t routes) {
   return R"({"revision":)" + std::to_string(first_revision) +
          R"(,"plants":[{"label":"booking","probe":"/probe","conn_limit":100},)" + ModelWorkers::plant_text() +
-         R"(],"route_table":[)" + ModelCallers::route_text() + "," + routes_text(0, routes, first_due).substr(1) + "}";
+         R"(],"route_table":[)" + ModelCallers::route_text() + "," + routes_text(0, routes, first_due).substr(1) +
+         R"(,"tenants":)" + tenants_text(0, routes) + "}";
 }
 
 Question first_request(const std::string& document) {
@@ -38,7 +49,8 @@
 
 std::string change_body(const RouteChange& change) {
   return R"({"revision":)" + std::to_string(change.revision) + R"(,"apply":{"route_table":)" +
-         routes_text(change.from, change.until, change.due_ms) + "}}";
+         routes_text(change.from, change.until, change.due_ms) + R"(,"tenants":)" +
+         tenants_text(change.from, change.until) + "}}";
 }
 
 std::string identity(const std::string&, std::uint64_t base, const std::string& body) {
@@ -57,6 +69,7 @@
           "/area-" + std::to_string(route) + "/probe",
           {{"host", "host-" + std::to_string(route % hosts) + ".example"},
            {"x-trial-id", "soak"},
+           {"x-key", key_of(route)},
            {"x-deadline-ms", "500"}},
           "{}"};
 }
--- a/test/soak/modelcallers.cpp
+++ b/test/soak/modelcallers.cpp
@@ -26,6 +26,7 @@
 constexpr std::size_t often_tries = 4;
 constexpr Moment often_span = 8000;
 constexpr const char* host = "generators.example";
+constexpr const char* key = "key-of-the-generators";
 
 Moment retry_after(const Reply& reply) {
   const auto value = header_value(reply.headers, "retry-after");
@@ -42,6 +43,10 @@
          R"("setpoint_ms":500,"gap_setpoint_ms":300,"trials":2,"pinned":true})";
 }
 
+std::string ModelCallers::tenant_text() {
+  return std::string(R"({"label":")") + ModelWorkers::tenant + R"(","credentials":[")" + key + R"("]})";
+}
+
 ModelCallers::ModelCallers(FleetView fleet, Asker& asker, Ledger& ledger, const Troubles& troubles, std::uint64_t seed)
     : fleet_(fleet), asker_(asker), ledger_(ledger), troubles_(troubles), random_(seed) {}
 
@@ -81,6 +86,8 @@
                {"x-trial-id", call.trial},
                {"x-deadline-ms", streams ? stream_due_ms : due_ms},
                {"x-model", call.model},
+               {"x-key", key},
+               {"x-tenant", "somebody-else"},
                {"x-tokens", "20," + std::to_string(streams ? call.events : 4)}},
               "{}",
               streams ? stream_within : answer_within},
--- a/test/soak/modelcallers.hpp
+++ b/test/soak/modelcallers.hpp
@@ -24,6 +24,8 @@
   const std::map<std::string, std::size_t>& outcomes() const { return outcomes_; }
   /// Routes of the configuration for these callers.
   static std::string route_text();
+  /// Their tenant, and the one key that it has.
+  static std::string tenant_text();
 
  private:
   struct Call {
--- a/test/soak/modelworkers.cpp
+++ b/test/soak/modelworkers.cpp
@@ -158,6 +158,7 @@
 }
 
 void ModelWorkers::take_run(Worker& worker, const RequestArrived& request) {
+  if (!header_of(request, "x-key").empty() || header_of(request, "x-tenant") != tenant) ++wrong_tenants_;
   const auto trial = header_of(request, "x-trial-id");
   const auto asked = header_of(request, "x-model");
   const auto slash = asked.find('/');
--- a/test/soak/modelworkers.hpp
+++ b/test/soak/modelworkers.hpp
@@ -22,6 +22,8 @@
   std::size_t store_loads() const { return store_loads_; }
   std::size_t orders() const { return orders_; }
   std::size_t over_limit() const { return over_limit_; }
+  /// Requests that came with a caller's key, or for another tenant than the callers' own.
+  std::size_t wrong_tenants() const { return wrong_tenants_; }
 
   static std::string plant_text();
   static std::string model_name(std::size_t number) { return "model-" + std::to_string(number); }
@@ -29,6 +31,8 @@
   /// A stream has one event for each token that its request allows, so long after one another.
   static constexpr Moment event_pause = 40;
   static constexpr const char* stream_prefix = "/talk/";
+  /// For whom all requests must run.
+  static constexpr const char* tenant = "generators";
   /// Adapters of model 0; the others have none.
   static constexpr std::size_t adapters = 40;
 
@@ -74,6 +78,7 @@
   std::size_t store_loads_ = 0;
   std::size_t orders_ = 0;
   std::size_t over_limit_ = 0;
+  std::size_t wrong_tenants_ = 0;
 };
 
 }  // namespace weldsail::soak
--- a/test/soak/soakjudge.cpp
+++ b/test/soak/soakjudge.cpp
@@ -95,6 +95,8 @@
   if (starved.never.size() > 1 + starved.often / 10)
     ledger_.breach(std::to_string(starved.never.size()) + " of " + std::to_string(starved.often) +
                    " models and adapters were never served:" + names);
+  if (model_workers_.wrong_tenants() != 0)
+    ledger_.breach(std::to_string(model_workers_.wrong_tenants()) + " requests with a key, or for a wrong tenant");
   if (model_workers_.over_limit() != 0)
     ledger_.breach(std::to_string(model_workers_.over_limit()) + " orders to load more than a worker holds");
 }
--- a/test/soak/watch.cpp
+++ b/test/soak/watch.cpp
@@ -19,6 +19,8 @@
 constexpr Moment probe_within = 1500;
 /// Only the routes of the newest changes may be unknown to a late process.
 constexpr std::size_t routes_probed = 8;
+/// A refusal by an older document needs a proof that is no older than this, whatever troubles the process.
+constexpr Moment refusal_most = 3000;
 
 std::optional<std::uint64_t> counter_of(const rapidjson::Value& status, const char* pointer) {
   const auto* found = rapidjson::Pointer(pointer).Get(status);
@@ -135,7 +137,7 @@
   asker_.ask(question, [this, process, number, now](const Reply& reply) {
     if (!reply.whole || reply.status == 0) return;
     ++probes_told_;
-    if (reply.status == 404) judge_unknown_route(process, number, now);
+    if (reply.status == 404 || reply.status == 401) judge_refusal(process, reply.status, number, now);
   });
 }
 
@@ -153,14 +155,16 @@
                  std::to_string(sent - ledger_.changes().at(least).first_heard) + " ms before it was asked");
 }
 
-void Watch::judge_unknown_route(std::size_t process, std::size_t route, Moment sent) {
+void Watch::judge_refusal(std::size_t process, int status, std::size_t route, Moment sent) {
   const auto calm = calm_since_(process);
-  if (!calm || *calm + adopt_within_ > sent) {
+  const bool may_be_late = !calm || *calm + adopt_within_ > sent;
+  if (may_be_late && sent - ledger_.route_since(route) <= refusal_most) {
     ++probes_excused_;
     return;
   }
-  ledger_.breach(fleet_.child(process).name + " answered 404 for route " + std::to_string(route) + ", acknowledged " +
-                 std::to_string(sent - ledger_.route_since(route)) + " ms before it was asked for");
+  ledger_.breach(fleet_.child(process).name + " answered " + std::to_string(status) + " for route " +
+                 std::to_string(route) + ", acknowledged " + std::to_string(sent - ledger_.route_since(route)) +
+                 " ms before it was asked for");
 }
 
 bool Watch::in_force_everywhere(std::uint64_t version) const {
--- a/test/soak/watch.hpp
+++ b/test/soak/watch.hpp
@@ -58,7 +58,7 @@
   void judge_version(std::size_t process, std::uint64_t version, Moment sent);
   void read_configuration(Moment now);
   void probe_route(Moment now);
-  void judge_unknown_route(std::size_t process, std::size_t route, Moment sent);
+  void judge_refusal(std::size_t process, int status, std::size_t route, Moment sent);
 
   FleetView fleet_;
   Asker& asker_;
