--- a/src/shell/pipes.cpp
+++ b/src/shell/pipes.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <set>
+#include <utility>
 
 #include "shell/connectionpool.hpp"
 #include "shell/serverparts.hpp"
@@ -96,7 +97,8 @@
     if (now - pending->ended_at > limits_.transfer) shut(socket);
   }
   for (auto& [socket, pipe] : pipes_) {
-    if (answering.contains(socket)) {
+    const bool used_lately = std::exchange(pipe->used_lately, false);
+    if (used_lately || answering.contains(socket)) {
       pipe->since = now;
       pipe->bytes = socket->bytes_read;
       pipe->begun = false;
--- a/src/shell/server.cpp
+++ b/src/shell/server.cpp
@@ -99,7 +99,7 @@
   const auto pipe = server->pipes_.find(pending->socket());
   if (pipe != server->pipes_.end()) {
     event.door = pipe->second->door;
-    pipe->second->used = true;
+    pipe->second->used = pipe->second->used_lately = true;
     server->release_input(*pipe->second);
   }
   if (request->entity.base != nullptr) {
--- a/src/shell/serverparts.hpp
+++ b/src/shell/serverparts.hpp
@@ -32,11 +32,16 @@
   Server* server;
   int door;
   h2o_socket_t* socket;
+  /// When the last request ended, or when the next one began to come, as the sweeps have seen it.
   Moment since;
+  /// Bytes that had been read when the last request ended.
   std::size_t bytes;
+  /// A request has begun to come that isn't whole yet.
   bool begun;
   /// A whole request has come on it.
   bool used = false;
+  /// One has come since the last sweep.
+  bool used_lately = false;
   /// h2o's own reader, which `on_input` stands before.
   h2o_socket_cb http_read = nullptr;
   /// Bytes of the request that is coming, as counted.
--- a/test/unit/serveranswers.cpp
+++ b/test/unit/serveranswers.cpp
@@ -63,6 +63,32 @@
   CHECK(talk.last.door == 7);
 }
 
+// Guards against a connection in use that is closed as though its request came too slowly (incident 45, LOST).
+TEST_CASE("a kept connection stays open though all its requests are answered between two sweeps") {
+  Talk talk;
+  const auto begun = monotonic_now();
+  constexpr Moment pause = 250;
+  constexpr Moment lasts = 120000;
+  for (Moment passed = 0; passed < lasts; passed += pause) {
+    talk.caller->got.clear();
+    talk.server.answer({talk.ask(get), 200, {}, "four"});
+    REQUIRE(talk.hears("four"));
+    // Until the answer has been written out.
+    talk.loop.step(1);
+    talk.server.sweep(begun + passed);
+    talk.caller->hear();
+    CAPTURE(passed);
+    REQUIRE_FALSE(talk.caller->ended);
+  }
+  // One that rests, or whose next request doesn't become whole, is closed as ever.
+  const bool half = GENERATE(false, true);
+  if (half) talk.caller->say("GET /a HT");
+  if (half) talk.loop.step(1);
+  talk.server.sweep(begun + lasts + pause);
+  talk.server.sweep(begun + lasts + (half ? 31000 : 61000));
+  CHECK(talk.ends());
+}
+
 TEST_CASE("an answer keeps its headers, and its framing is the server's own") {
   Talk talk;
   const std::vector<Header> headers{{"x-stamp", "1"},        {"content-length", "99"},
