--- a/src/core/configuration/deliverystate.hpp
+++ b/src/core/configuration/deliverystate.hpp
@@ -8,6 +8,7 @@
 #include "core/bulk/window.hpp"
 #include "core/delta.hpp"
 #include "core/event.hpp"
+#include "core/timehistogram.hpp"
 
 namespace weldsail {
 
@@ -68,12 +69,6 @@
 /// Upper bounds, in milliseconds, of the buckets of times from the first word of a version until it is here.
 inline constexpr std::array<Moment, 8> adoption_buckets{25, 50, 100, 250, 500, 1000, 2500, 5000};
 
-/// Such times; one more bucket takes what is longer.
-struct AdoptionTimes {
-  std::array<std::uint64_t, adoption_buckets.size() + 1> counts{};
-  Moment sum = 0;
-};
-
 /// What the delivery of large values counts, from the start of the process.
 struct DeliveryCounters {
   /// Bytes of parts and of values inside News that were sent.
@@ -104,7 +99,7 @@
   /// Versions of the configuration that are known to be committed and aren't here yet, with when that was heard.
   std::map<std::uint64_t, Moment> missing;
   DeliveryCounters counters;
-  AdoptionTimes adoption;
+  TimeHistogram<adoption_buckets> adoption;
 };
 
 }  // namespace weldsail
--- a/src/core/configuration/fetch.hpp
+++ b/src/core/configuration/fetch.hpp
@@ -18,6 +18,8 @@
 void fetch_learned(NewsState& state, const MemberState& member, const std::string& key, Moment now, Effects& effects);
 /// Asks for parts once more that haven't come, of another source where there is one.
 void fetch_tick(NewsState& state, const MemberState& member, Moment now, Effects& effects);
+/// The newest version of the configuration that is known to be committed, here or not.
+std::uint64_t fetch_known_version(const NewsState& state);
 /// Strikes off versions up to the one that is here now, and counts how long the newest of them was awaited.
 void fetch_found(NewsState& state, Moment now);
 /// Counts a broken invariant and says so in the log.
--- a/src/core/configuration/missing.cpp
+++ b/src/core/configuration/missing.cpp
@@ -24,14 +24,17 @@
   missing.try_emplace(known.version(), since);
 }
 
+std::uint64_t fetch_known_version(const NewsState& state) {
+  const auto& missing = state.delivery.missing;
+  const auto here = news_version(state, config_key);
+  return missing.empty() ? here : std::max(here, missing.rbegin()->first);
+}
+
 void fetch_found(NewsState& state, Moment now) {
   auto& missing = state.delivery.missing;
   const auto end = missing.upper_bound(news_version(state, config_key));
   const auto waited = end == missing.begin() ? 0 : now - std::prev(end)->second;
-  auto& adoption = state.delivery.adoption;
-  const auto bucket = std::ranges::lower_bound(adoption_buckets, waited) - adoption_buckets.begin();
-  ++adoption.counts[static_cast<std::size_t>(bucket)];
-  adoption.sum += waited;
+  state.delivery.adoption.add(waited);
   missing.erase(missing.begin(), end);
 }
 
--- a/src/core/configuration/newssources.cpp
+++ b/src/core/configuration/newssources.cpp
@@ -13,6 +13,8 @@
 constexpr Moment asks_per_bound = 3;
 /// An ask that has no answer after this part of the bound counts as lost.
 constexpr Moment answers_per_bound = 10;
+/// Proofs that may be awaited; the oldest give way.
+constexpr std::size_t awaited_most = 64;
 /// A source whose proof is older than this part of the bound may itself be cut off from the majority.
 constexpr Moment fresh_per_bound = 3;
 
@@ -98,6 +100,16 @@
   news_send_ask(state, member, neighbour->node(), neighbour->address(), now, effects);
 }
 
+/// The sender's proof is of its own version of the configuration: the one here, unless it offers a newer one.
+void take_proof(NewsState& state, const wire::News& news, Moment as_of) {
+  const auto offer = std::ranges::find(news.offers(), config_key, &wire::Known::key);
+  if (offer == news.offers().end() || offer->version() <= news_version(state, config_key))
+    return news_prove_current(state, as_of);
+  const auto awaited = state.awaited_proofs.try_emplace(offer->version(), as_of).first;
+  awaited->second = std::max(awaited->second, as_of);
+  if (state.awaited_proofs.size() > awaited_most) state.awaited_proofs.erase(state.awaited_proofs.begin());
+}
+
 }  // namespace
 
 void news_tick(NewsState& state, const MemberState& member, Moment now, Effects& effects) {
@@ -118,29 +130,12 @@
   ask_neighbour(state, member, now, effects);
 }
 
-namespace {
-
-/// Proofs that may be awaited; the oldest give way.
-constexpr std::size_t awaited_most = 64;
-
-/// The sender's proof is of its own version of the configuration: the one here, unless it offers a newer one.
-void take_proof(NewsState& state, const wire::News& news) {
-  const auto as_of = static_cast<Moment>(news.asked_ms()) - static_cast<Moment>(news.majority_age_ms());
-  const auto offer = std::ranges::find(news.offers(), config_key, &wire::Known::key);
-  if (offer == news.offers().end() || offer->version() <= news_version(state, config_key))
-    return news_prove_current(state, as_of);
-  const auto awaited = state.awaited_proofs.try_emplace(offer->version(), as_of).first;
-  awaited->second = std::max(awaited->second, as_of);
-  if (state.awaited_proofs.size() > awaited_most) state.awaited_proofs.erase(state.awaited_proofs.begin());
-}
-
-}  // namespace
-
 void news_answered(NewsState& state, const MemberState& member, const wire::Envelope& envelope, Moment now) {
   const auto& news = envelope.news();
   const bool aged = news.asked_ms() != 0;
   const auto age = static_cast<Moment>(news.majority_age_ms());
-  if (member.options.program == Program::data && aged && news.majority_met()) take_proof(state, news);
+  if (member.options.program == Program::data && aged && news.majority_met())
+    take_proof(state, news, static_cast<Moment>(news.asked_ms()) - age);
   const auto found = state.sources.find(envelope.from());
   if (found == state.sources.end()) return;
   auto& source = found->second;
--- a/src/core/data.hpp
+++ b/src/core/data.hpp
@@ -152,8 +152,6 @@
 /// served by the older one, or the newer one waits too long for the disk. A node that knows of nothing newer goes on
 /// serving, with or without a proof: it may be cut off.
 bool configuration_outdated(const DataState& state, Moment arrived, Moment now);
-/// The newest version that is known to be committed.
-std::uint64_t configuration_known(const DataState& state);
 
 /// How a request is refused that has not run.
 struct Refusal {
--- a/src/core/eventlane.cpp
+++ b/src/core/eventlane.cpp
@@ -1,7 +1,5 @@
 #include "core/eventlane.hpp"
 
-#include <limits>
-
 namespace weldsail {
 
 EventLane event_lane(const DataState&, const Event& event) {
@@ -14,11 +12,7 @@
   return may_wait(state, event) ? EventLane::later : EventLane::urgent;
 }
 
-Moment urgent_turn_most(const DataState&) {
-  constexpr Moment turn_most = 50;
-  return turn_most;
-}
-
-Moment urgent_turn_most(const ControlState&) { return std::numeric_limits<Moment>::max(); }
+bool looks_between_urgent(const DataState&) { return true; }
+bool looks_between_urgent(const ControlState&) { return false; }
 
 }  // namespace weldsail
--- a/src/core/eventlane.hpp
+++ b/src/core/eventlane.hpp
@@ -12,9 +12,9 @@
 EventLane event_lane(const DataState& state, const Event& event);
 EventLane event_lane(const ControlState& state, const Event& event);
 
-/// Milliseconds of urgent work before a process looks at its connections again. A control process does all of it first:
-/// its ticks are costly, and come with each look.
-Moment urgent_turn_most(const DataState& state);
-Moment urgent_turn_most(const ControlState& state);
+/// True where a process looks at its connections between urgent events that take long. A control process takes all of
+/// them first: its ticks are costly, and come with each look.
+bool looks_between_urgent(const DataState& state);
+bool looks_between_urgent(const ControlState& state);
 
 }  // namespace weldsail
--- a/src/core/forwarding/paths/losses.cpp
+++ b/src/core/forwarding/paths/losses.cpp
@@ -46,12 +46,6 @@
   return static_cast<std::size_t>(std::max_element(spent.begin(), before_answer) - spent.begin());
 }
 
-void add(PhaseHistogram& histogram, Moment time) {
-  const auto bucket = std::ranges::lower_bound(phase_buckets, time) - phase_buckets.begin();
-  ++histogram.counts[static_cast<std::size_t>(bucket)];
-  histogram.sum += time;
-}
-
 }  // namespace
 
 const char* request_phase_name(RequestPhase phase) { return cause_names[static_cast<std::size_t>(phase)]; }
@@ -75,7 +69,7 @@
   auto& losses = losses_of(state.path.losses, carry.route.name);
   for (std::size_t phase = 0; phase < request_phases; ++phase)
     if (carry.phases.spent[phase] > 0 || phase == static_cast<std::size_t>(RequestPhase::first_event))
-      add(losses.phases[phase], carry.phases.spent[phase]);
+      losses.phases[phase].add(carry.phases.spent[phase]);
   const bool late = outcome == RequestOutcome::in_time && is_late(carry);
   const auto ended = late ? RequestOutcome::late : outcome;
   ++losses.ended[static_cast<std::size_t>(ended)][cause_of(carry)];
--- a/src/core/forwarding/paths/losses.hpp
+++ b/src/core/forwarding/paths/losses.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/event.hpp"
+#include "core/timehistogram.hpp"
 
 namespace weldsail {
 
@@ -31,14 +32,11 @@
   Moment longest_pause = 0;
 };
 
-/// Upper bounds of a histogram's buckets in milliseconds; one more takes what is longer.
+/// Upper bounds, in milliseconds, of the buckets of times that requests spend in a phase.
 inline constexpr std::array<Moment, 8> phase_buckets{5, 25, 100, 250, 500, 1000, 2500, 5000};
 
 /// Times that requests spent in one phase.
-struct PhaseHistogram {
-  std::array<std::uint64_t, phase_buckets.size() + 1> counts{};
-  Moment sum = 0;
-};
+using PhaseHistogram = TimeHistogram<phase_buckets>;
 
 /// What became of one route's requests.
 struct RouteLosses {
--- a/src/core/forwarding/paths/path.hpp
+++ b/src/core/forwarding/paths/path.hpp
@@ -32,8 +32,8 @@
 /// Time that a departing node may use to write its answers out.
 Moment path_write_time(const DataState& state);
 
-/// Whether the configuration in force has a place for a request, or what it lacks.
-enum class Placing { placed, no_route, key_unknown };
+/// Whether the configuration in force has a place for a request, or why not.
+enum class Placing { placed, no_route, key_unknown, too_large };
 /// Brings a request in line with the configuration in force, which decides its route and its tenant together.
 Placing path_place(const DataState& state, PathCarry& carry);
 /// How a request is refused that wasn't placed.
--- a/src/core/forwarding/paths/take.cpp
+++ b/src/core/forwarding/paths/take.cpp
@@ -32,14 +32,15 @@
   return last;
 }
 
-/// The tenant that a request runs for, null where it needs none and brings no key; nothing where its key isn't known.
-std::optional<const Tenant*> find_tenant(const PathState& path, const PathRoute& route, const PathCall& call) {
+/// The tenant that a request runs for, one without a name where it needs none and brings no key; null where its key
+/// isn't known.
+const Tenant* find_tenant(const PathState& path, const PathRoute& route, const PathCall& call) {
+  static const Tenant nobody;
   const auto& tenants = path.config->tenants;
-  if (!tenants) return nullptr;
-  if (call.key_hashes.empty() && !route.needs_key) return nullptr;
-  if (call.key_hashes.size() != 1) return std::nullopt;
+  if (!tenants || (call.key_hashes.empty() && !route.needs_key)) return &nobody;
+  if (call.key_hashes.size() != 1) return nullptr;
   const auto place = path.keys.find(call.key_hashes.front());
-  return place ? std::optional(&(*tenants)[*place]) : std::nullopt;
+  return place ? &(*tenants)[*place] : nullptr;
 }
 
 void refuse(DataState& state, std::uint64_t request, int status, Moment retry_after, Effects& effects) {
@@ -93,11 +94,11 @@
   const auto found = state.path.index.find(carry.call.host, carry.path);
   if (!found) return Placing::no_route;
   const auto& route = config.routes[*found];
-  const auto tenant = find_tenant(state.path, route, carry.call);
-  if (!tenant) return Placing::key_unknown;
+  const auto* tenant = find_tenant(state.path, route, carry.call);
+  if (tenant == nullptr) return Placing::key_unknown;
   carry.route = route;
-  carry.tenant = *tenant == nullptr ? std::string() : (*tenant)->name;
-  if (*tenant != nullptr) carry.route.urgency = (*tenant)->urgency.value_or(route.urgency);
+  carry.route.urgency = tenant->urgency.value_or(route.urgency);
+  carry.tenant = tenant->name;
   carry.revision = config.revision;
   const bool stays = std::ranges::any_of(carry.route.shares, [&](const ServiceShare& share) {
     return share.service == carry.service && share.weight > 0;
@@ -112,6 +113,7 @@
 
 Refusal path_refusal(DataState& state, Placing placing, Moment arrived, Moment now, Effects& effects) {
   if (placing == Placing::key_unknown) return refuse_unplaced(state, 401, "key_unknown", arrived, now, effects);
+  if (placing == Placing::too_large) return refuse_unplaced(state, 413, "too_large", arrived, now, effects);
   return refuse_unplaced(state, 404, "no_route", arrived, now, effects);
 }
 
@@ -129,10 +131,10 @@
   if (!call) return refuse(state, event.request, 400, 0, effects);
   carry.call = std::move(*call);
   carry.path = event.path;
-  const auto placing = path_place(state, carry);
-  if (placing != Placing::placed || event.body.size() > path.config->limits.body_bytes) {
-    const auto refusal = placing == Placing::placed ? refuse_unplaced(state, 413, "too_large", arrived, now, effects)
-                                                    : path_refusal(state, placing, arrived, now, effects);
+  auto placing = path_place(state, carry);
+  if (placing == Placing::placed && event.body.size() > path.config->limits.body_bytes) placing = Placing::too_large;
+  if (placing != Placing::placed) {
+    const auto refusal = path_refusal(state, placing, arrived, now, effects);
     return refuse(state, event.request, refusal.status, refusal.retry_after, effects);
   }
   carry.request = event.request;
--- a/src/core/operations/commonmetrics.cpp
+++ b/src/core/operations/commonmetrics.cpp
@@ -83,11 +83,10 @@
 void write_versions(MetricsText& text, const NewsState& news, std::uint64_t in_force, std::uint64_t revision,
                     Moment now) {
   const auto& missing = news.delivery.missing;
-  const auto committed = missing.empty() ? 0 : missing.rbegin()->first;
   text.gauge("configuration_version", "Version of the configuration in force; 0 for none.").sample(in_force);
   text.gauge("configuration_revision", "The operator's own number of it, where it has one.").sample(revision);
   text.gauge("configuration_known_version", "Newest version that is known to be committed.");
-  text.sample(std::max({in_force, committed, news_version(news, config_key)}));
+  text.sample(std::max(in_force, fetch_known_version(news)));
   text.gauge("configuration_behind", "1 while a committed version is known that isn't here.");
   text.sample(fetch_behind(news) ? 1 : 0);
   auto since = now;
--- a/src/core/outdated.cpp
+++ b/src/core/outdated.cpp
@@ -1,7 +1,4 @@
-#include <algorithm>
-
 #include "core/configuration/fetch.hpp"
-#include "core/consensus/duty.hpp"
 #include "core/data.hpp"
 
 /// What a data node may do under the configuration in force, and what a newer one may forbid.
@@ -30,12 +27,6 @@
   return memo_late(state.memo, now) || (configuration_newer_known(state) && !configuration_proved(state, arrived));
 }
 
-std::uint64_t configuration_known(const DataState& state) {
-  const auto& missing = state.news.delivery.missing;
-  const auto newest = missing.empty() ? 0 : missing.rbegin()->first;
-  return std::max({newest, state.document_version, news_version(state.news, config_key)});
-}
-
 Refusal refuse_unplaced(DataState& state, int status, const char* reason, Moment arrived, Moment now,
                         Effects& effects) {
   const bool newer = configuration_newer_known(state);
@@ -44,7 +35,7 @@
   note(effects, "request.unplaced",
        {{"reason", reason},
         {"version", std::to_string(state.document_version)},
-        {"known", std::to_string(configuration_known(state))},
+        {"known", std::to_string(fetch_known_version(state.news))},
         {"proof_age_ms", state.current_as_of ? std::to_string(now - *state.current_as_of) : "none"},
         {"waited_ms", std::to_string(now - arrived)}});
   if (!newer && proved) return {status, reason, 0};
--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -14,6 +14,8 @@
 constexpr int aside_door = 1;
 /// Milliseconds of work that may wait before the loop looks for urgent events again.
 constexpr Moment turn_most = 4;
+/// Milliseconds of urgent work before a process that does so looks at its connections again.
+constexpr Moment urgent_turn_most = 50;
 /// Milliseconds in which a departing process still answers who asks on an open connection.
 constexpr Moment farewell = 200;
 /// Longest step of the loop in that time.
@@ -144,10 +146,11 @@
 template <typename State>
 bool Node<State>::take_turn() {
   const auto begun = monotonic_now();
+  const bool looks_between = looks_between_urgent(state_);
   do {
     while (!departed_ && queue_.has_urgent()) {
       take(queue_.take_urgent());
-      if (queue_.has_urgent() && monotonic_now() - begun >= urgent_turn_most(state_)) return false;
+      if (looks_between && queue_.has_urgent() && monotonic_now() - begun >= urgent_turn_most) return false;
     }
     if (departed_ || !queue_.has_later()) continue;
     if (const auto event = queue_.take_later(monotonic_now())) take(*event);
--- a/test/sim/latenews.hpp
+++ b/test/sim/latenews.hpp
@@ -87,7 +87,6 @@
   std::map<std::string, Moment> cut_until_;
   /// Until when news to a node takes so much longer.
   std::map<std::string, std::pair<Moment, Moment>> news_late_;
-  std::size_t open_ = 0;
   std::uint64_t unproved_before_ = 0;
 };
 
