--- a/src/core/configuration/config.hpp
+++ b/src/core/configuration/config.hpp
@@ -9,6 +9,9 @@
 
 namespace weldsail {
 
+/// Where operators read and replace the configuration.
+inline constexpr const char* config_path = "/v1/config";
+
 /// One thing wrong with a document, named by JSON pointer.
 struct Fault {
   std::string pointer;
--- a/src/core/configuration/configanswers.cpp
+++ b/src/core/configuration/configanswers.cpp
@@ -42,9 +42,11 @@
   const auto& path = job.operation.path();
   const auto version = std::to_string(value.version());
   static const std::string changes = "/v1/config/changes/";
-  if (path == "/v1/config") {
+  if (path == config_path) {
     if (value.version() == 0)
       operate_refuse(member, job.asker, 404, "no_configuration", "refused", {}, effects);
+    else if (job.asker.node != 0 && job.operation.known_version() == value.version())
+      operate_answer(member, job.asker, status_not_modified, {}, effects, version);
     else
       operate_answer(member, job.asker, 200, value.document(), effects, version);
   } else if (path == "/v1/config/history") {
--- a/src/core/configuration/configduty.cpp
+++ b/src/core/configuration/configduty.cpp
@@ -25,7 +25,7 @@
 }
 
 bool changes_path(const wire::Operate& operation) {
-  return (operation.method() == "PUT" && operation.path() == "/v1/config") ||
+  return (operation.method() == "PUT" && operation.path() == config_path) ||
          (operation.method() == "POST" && operation.path() == "/v1/config/change");
 }
 
--- a/src/core/configuration/news.cpp
+++ b/src/core/configuration/news.cpp
@@ -66,6 +66,13 @@
   return found == state.values.end() ? 0 : found->second.version();
 }
 
+std::string news_document(const NewsState& state) {
+  wire::ConfigValue value;
+  const auto found = state.values.find(config_key);
+  if (found == state.values.end() || !value.ParseFromString(found->second.value())) return {};
+  return std::move(*value.mutable_document());
+}
+
 std::vector<wire::Known> news_known(const NewsState& state) {
   std::vector<wire::Known> known;
   for (const auto& [key, value] : state.values) {
--- a/src/core/configuration/news.hpp
+++ b/src/core/configuration/news.hpp
@@ -44,6 +44,8 @@
 void write_delivery(const NewsState& state, const BulkState& bulk, JsonText& text);
 /// Version of a value here; 0 where there is none.
 std::uint64_t news_version(const NewsState& state, const std::string& key);
+/// The configuration's document here, read from its value; empty where there is none.
+std::string news_document(const NewsState& state);
 /// Versions that this node has.
 std::vector<wire::Known> news_known(const NewsState& state);
 /// Takes a committed value when it is newer; true when it was.
--- a/src/core/configuration/pathduty.cpp
+++ b/src/core/configuration/pathduty.cpp
@@ -1,5 +1,7 @@
 #include "core/configuration/pathduty.hpp"
 
+#include "core/configuration/config.hpp"
+
 #include "core/membership/rendezvous.hpp"
 
 namespace weldsail {
@@ -26,7 +28,7 @@
   const bool amends = call.kind == ConfigCallKind::amend;
   wire::Operate operation;
   operation.set_method(call.kind == ConfigCallKind::read ? "GET" : amends ? "POST" : "PUT");
-  operation.set_path(amends ? "/v1/config/change" : "/v1/config");
+  operation.set_path(amends ? "/v1/config/change" : config_path);
   if (call.kind == ConfigCallKind::read) return operation;
   if (call.base) operation.set_base(std::to_string(*call.base));
   operation.set_body(event.body.text());
--- a/src/core/controlmessage.cpp
+++ b/src/core/controlmessage.cpp
@@ -206,7 +206,7 @@
   if (envelope.has_operate())
     control_operate(state, {envelope.operate().request(), envelope.from(), envelope.address()}, envelope.operate(), now,
                     effects);
-  if (envelope.has_operated()) operate_answered(state.operate, envelope, effects);
+  if (envelope.has_operated()) operate_answered(state.operate, news_copy(state.news), envelope, effects);
   if (envelope.has_counter_report() && state.steward.term != 0) {
     demand_receive(state.steward.demand, envelope, now);
     for (const auto& backlog : envelope.counter_report().backlogs())
--- a/src/core/data.cpp
+++ b/src/core/data.cpp
@@ -53,12 +53,14 @@
     }
   if (envelope.has_value_ask()) serve_asked(state.news, state.member, envelope, now, effects);
   if (envelope.has_news_ask()) news_asked_once(state.news, state.member, state.formation.core, envelope, now, effects);
-  if (envelope.has_operated()) operate_answered(state.operate, envelope, effects);
+  if (envelope.has_operated()) operate_answered(state.operate, news_copy(state.news), envelope, effects);
   if (envelope.has_claimed()) claims_receive(state, envelope, now, effects);
   if (envelope.has_fleet()) path_fleet(state, envelope, now, effects);
-  if (envelope.has_counter_ask() && state.options.dialect != nullptr)
-    path_report(state, envelope.from(), envelope.address(), envelope.counter_ask().round(), now, effects);
-  else if (envelope.has_counter_ask())
+  if (envelope.has_counter_ask() && state.options.dialect != nullptr) {
+    const auto& ask = envelope.counter_ask();
+    state.path.known_reports = {envelope.from(), ask.known_backlogs(), ask.known_counters()};
+    path_report(state, envelope.from(), envelope.address(), ask.round(), now, effects);
+  } else if (envelope.has_counter_ask())
     report_counters(state, envelope.from(), envelope.address(), envelope.counter_ask().round(), now, effects);
 }
 
--- a/src/core/operations/operate.cpp
+++ b/src/core/operations/operate.cpp
@@ -71,7 +71,7 @@
 }
 
 std::string operate_unheard(const wire::Operate& operation) {
-  const bool changes = operation.path() == "/v1/config" || operation.path() == "/v1/config/change";
+  const bool changes = operation.path() == config_path || operation.path() == "/v1/config/change";
   return changes && operation.method() != "GET" ? "unknown" : "refused";
 }
 
@@ -160,6 +160,7 @@
   auto content = change_content(operation);
   if (auto* same = find_under_way(state, bulk, holder->node(), content)) return same->waiting.push_back(waiting);
   const bool change = operation.method() != "GET";
+  if (!change && operation.path() == config_path) operation.set_known_version(member.self.config_version());
   const auto identity = state.next++;
   state.forwarded[identity] = {
       {waiting}, holder->node(), change ? operation.change() : std::string(), std::move(content)};
@@ -169,10 +170,20 @@
   effects.push_back(SendMessage{holder->address(), std::move(envelope)});
 }
 
-void operate_answered(OperateState& state, const wire::Envelope& envelope, Effects& effects) {
-  const auto& answer = envelope.operated();
+ConfigurationCopy news_copy(const NewsState& news) {
+  return {news_version(news, config_key), [&news] { return news_document(news); }};
+}
+
+void operate_answered(OperateState& state, const ConfigurationCopy& copy, const wire::Envelope& envelope,
+                      Effects& effects) {
+  auto answer = envelope.operated();
   const auto found = state.forwarded.find(answer.request());
   if (found == state.forwarded.end()) return;
+  if (answer.status() == status_not_modified) {
+    answer.set_status(200);
+    answer.set_version(std::to_string(copy.version));
+    answer.set_body(copy.document());
+  }
   std::vector<Header> headers{{"content-type", "application/json"}};
   if (!answer.version().empty()) headers.push_back({"weldsail-version", answer.version()});
   if (tells_to_retry(answer.status())) headers.push_back({"retry-after", "1"});
--- a/src/core/operations/operate.hpp
+++ b/src/core/operations/operate.hpp
@@ -3,6 +3,7 @@
 
 #include "core/bulk/bulk.hpp"
 #include "core/configuration/config.hpp"
+#include "core/configuration/news.hpp"
 #include "core/consensus/duty.hpp"
 
 namespace weldsail {
@@ -40,6 +41,18 @@
   std::uint64_t next = 1;
 };
 
+/// The configuration as this process has it, for reads that the owner has confirmed by its version alone.
+struct ConfigurationCopy {
+  std::uint64_t version = 0;
+  /// Reads the document, which is large.
+  std::function<std::string()> document;
+};
+
+/// What is here of it.
+ConfigurationCopy news_copy(const NewsState& news);
+
+/// Status of an owner's answer that the asker's own copy is what was asked for.
+inline constexpr std::uint32_t status_not_modified = 304;
 /// Longest wait for the configuration's owner, in milliseconds: with a tick to spare less than a third of the bound,
 /// after which operators go on to another node by themselves.
 inline Moment operate_config_patience(Moment bound) { return bound * 3 / 10; }
@@ -70,11 +83,13 @@
 std::string operate_unheard(const wire::Operate& operation);
 /// A document of faults; without any it says that all is valid.
 std::string operate_faults(const std::vector<Fault>& faults, const std::string& change);
-/// Carries an operation to the key's holder. A change whose body is under way to it already isn't sent again: its
-/// answer is for both.
+/// Carries an operation to the key's holder. A read of the configuration names the version that is here. A change whose
+/// body is under way to it already isn't sent again: its answer is for both.
 void operate_forward(OperateState& state, const BulkState& bulk, const MemberState& member, wire::Operate operation,
                      const std::string& key, std::uint64_t request, Moment now, Effects& effects);
-void operate_answered(OperateState& state, const wire::Envelope& envelope, Effects& effects);
+/// Takes the owner's answer; the own copy goes to whoever asked where the owner has confirmed its version.
+void operate_answered(OperateState& state, const ConfigurationCopy& copy, const wire::Envelope& envelope,
+                      Effects& effects);
 /// The operator who asked has gone: nothing is answered any more.
 void operate_gone(OperateState& state, std::uint64_t request);
 /// Answers whose time is over. A body that nobody waits for isn't sent, unless it is under way: such an operation is
--- a/test/unit/operateretry.cpp
+++ b/test/unit/operateretry.cpp
@@ -75,7 +75,7 @@
     envelope.mutable_operated()->set_request(identity);
     envelope.mutable_operated()->set_status(200);
     Effects effects;
-    operate_answered(operate, envelope, effects);
+    operate_answered(operate, {}, envelope, effects);
     finish(effects);
   }
 
