--- a/src/core/forwarding/paths/call.hpp
+++ b/src/core/forwarding/paths/call.hpp
@@ -110,16 +110,26 @@
   AskRecord asks;
   std::map<std::string, AdapterUse> adapters;
   LengthsByKind lengths = {};
+  /// Number of the last report that was sent before something here changed.
+  std::uint64_t changed_after = 0;
 };
 
-/// What was counted for one unit on one worker.
+/// What was counted for one unit.
 struct UnitCounter {
   std::uint64_t missed_tokens = 0;
   std::uint64_t generated_tokens = 0;
   Latencies first_event;
   Latencies between_events;
-  /// When something was counted last.
+  /// When something was counted last, and the number of the last report that was sent before.
   Moment counted = 0;
+  std::uint64_t changed_after = 0;
+};
+
+/// What the placement's holder has said that it has of this node's reports, by number; 0 for nothing.
+struct KnownReports {
+  std::uint64_t holder = 0;
+  std::uint64_t backlogs = 0;
+  std::uint64_t counters = 0;
 };
 
 /// True while a try is open.
--- a/src/core/forwarding/paths/move.cpp
+++ b/src/core/forwarding/paths/move.cpp
@@ -55,7 +55,7 @@
   else
     state.path.waiting.erase(carry.request);
   if (carry.unit.empty()) return;
-  auto& use = state.path.units[carry.unit];
+  auto& use = path_use(state, carry.unit);
   if (waits && (use.waiting.empty() || adapter_unawaited(use, carry.call.adapter))) state.path.fresh.insert(carry.unit);
   if (waits)
     use.waiting.insert(carry.request);
@@ -85,8 +85,8 @@
     item.missed_tokens = parts_missed(track.parts, carry.call, carry.chain);
     parts_remember(track.parts, carry.chain);
     track.unread_tokens += item.missed_tokens;
-    path_counter(state, carry.unit, worker.identity(), now).missed_tokens += item.missed_tokens;
-    auto& use = path.units[carry.unit];
+    path_counter(state, carry.unit, now).missed_tokens += item.missed_tokens;
+    auto& use = path_use(state, carry.unit);
     ++use.running;
     use.last_used = now;
     if (!carry.call.adapter.empty()) count_change(use.adapters[carry.call.adapter].running, true);
@@ -186,7 +186,7 @@
   if (track.open > 0) --track.open;
   if (!item.has_event) track.unread_tokens -= std::min(track.unread_tokens, item.missed_tokens);
   if (!carry.unit.empty()) {
-    auto& use = path.units[carry.unit];
+    auto& use = path_use(state, carry.unit);
     count_change(use.running, false);
     use.last_used = now;
     if (!carry.call.adapter.empty()) count_change(use.adapters[carry.call.adapter].running, false);
--- a/src/core/forwarding/paths/path.hpp
+++ b/src/core/forwarding/paths/path.hpp
@@ -66,10 +66,12 @@
 void path_refuse(DataState& state, PathCarry& carry, int status, const char* reason, Moment now, Effects& effects);
 /// Ends a request whose outcome isn't known, or whose answer can't be finished.
 void path_break(DataState& state, PathCarry& carry, const char* reason, Moment now, Effects& effects);
-/// The counters of a unit on a worker, to which something is added now.
-UnitCounter& path_counter(DataState& state, const std::string& unit, const std::string& worker, Moment now);
-/// Sends this node's counters and backlogs; round 0 without counters. Counters of units and workers that have left are
-/// dropped with a report that tells counters: the next ones begin at zero for whoever has this one.
+/// The counters of a unit, to which something is added now.
+UnitCounter& path_counter(DataState& state, const std::string& unit, Moment now);
+/// What this node was asked for a unit, of which something changes now.
+UnitUse& path_use(DataState& state, const std::string& unit);
+/// Sends this node's counters and backlogs; round 0 without counters. Where the holder has said which report it has,
+/// only what has changed since is told. Counters of units that have left are dropped with a report that tells counters.
 void path_report(DataState& state, std::uint64_t node, const std::string& address, std::uint64_t round, Moment now,
                  Effects& effects);
 /// Tells the holder of units that requests have begun to wait for, and of no others.
--- a/src/core/forwarding/paths/pipe.cpp
+++ b/src/core/forwarding/paths/pipe.cpp
@@ -47,7 +47,7 @@
 /// A worker serves the request: what it asked for is owed to nobody any more.
 void served(DataState& state, const PathCarry& carry, Moment now) {
   if (carry.unit.empty()) return;
-  auto& use = state.path.units[carry.unit];
+  auto& use = path_use(state, carry.unit);
   asks_serve(use.asks, now);
   if (!carry.call.adapter.empty()) asks_serve(use.adapters[carry.call.adapter].asks, now);
 }
@@ -60,8 +60,7 @@
   item.has_event = true;
   item.first_event = now;
   phase_enter(carry.phases, RequestPhase::answer, now);
-  if (!carry.unit.empty())
-    path_counter(state, carry.unit, item.worker, now).first_event.add(static_cast<double>(now - item.begun));
+  if (!carry.unit.empty()) path_counter(state, carry.unit, now).first_event.add(static_cast<double>(now - item.begun));
 }
 
 void count_events(DataState& state, PathCarry& carry, const std::string& events, Moment now, Effects& effects) {
@@ -79,12 +78,12 @@
   if (!item.has_event)
     first_event(state, carry, now);
   else if (!carry.unit.empty())
-    path_counter(state, carry.unit, item.worker, now).between_events.add(static_cast<double>(now - item.last_bytes));
+    path_counter(state, carry.unit, now).between_events.add(static_cast<double>(now - item.last_bytes));
   std::uint64_t count = 0;
   for (auto place = events.find("\n\n"); place != std::string::npos; place = events.find("\n\n", place + 2)) ++count;
   item.events += count;
   if (carry.unit.empty()) return;
-  path_counter(state, carry.unit, item.worker, now).generated_tokens +=
+  path_counter(state, carry.unit, now).generated_tokens +=
       count * state.path.config->services[carry.service].tokens_per_event;
 }
 
--- a/src/core/forwarding/paths/report.cpp
+++ b/src/core/forwarding/paths/report.cpp
@@ -61,18 +61,15 @@
   write_adapters(use, state.options.member.bound, now, backlog);
 }
 
-/// Drops counters of workers that aren't there any more and of units that aren't configured, some time after their last
-/// request. Without them the holder sees no work there, as with counters that rest.
+/// Drops what is known of units that aren't configured, some time after their last request. Without their counters the
+/// holder sees no work there, as with counters that rest.
 void drop_gone(DataState& state, Moment now) {
   auto& path = state.path;
   if (!path.config || !path.fleet.known) return;
   const auto units = path_units(*path.config);
   const auto rests = [&](Moment last) { return now - last > counters_kept_bounds * state.options.member.bound; };
-  for (auto& [unit, counters] : path.counters)
-    std::erase_if(counters, [&, configured = units.contains(unit)](const auto& item) {
-      return rests(item.second.counted) && !(configured && path.fleet.workers.find(item.first) != nullptr);
-    });
-  std::erase_if(path.counters, [](const auto& item) { return item.second.empty(); });
+  std::erase_if(path.counters,
+                [&](const auto& item) { return rests(item.second.counted) && !units.contains(item.first); });
   std::erase_if(path.lengths, [&](const auto& item) { return !path.config->services.contains(item.first); });
   for (auto& [unit, use] : path.units)
     std::erase_if(use.adapters, [&](const auto& item) {
@@ -93,37 +90,57 @@
   return envelope;
 }
 
+/// Adds the units that the holder has to be told of.
+void write_backlogs(const DataState& state, std::uint64_t base, std::uint64_t round, Moment now,
+                    wire::CounterReport& report) {
+  const auto told_for = (round != 0 ? unit_told_bounds : unit_told_unasked_bounds) * state.options.member.bound;
+  for (const auto& [name, use] : state.path.units) {
+    const bool busy = !use.waiting.empty() || use.running > 0;
+    const bool fresh = base != 0 ? use.changed_after >= base : now - use.last_used < told_for;
+    if (busy || fresh) write_unit(state, name, use, now, *report.add_backlogs());
+  }
+  report.set_partial(base != 0);
+  report.set_base(base);
+}
+
+void write_counters(const DataState& state, std::uint64_t base, wire::CounterReport& report) {
+  for (const auto& [unit, counted] : state.path.counters) {
+    if (base != 0 && counted.changed_after < base) continue;
+    auto* counter = report.add_counters();
+    counter->set_unit(unit);
+    counter->set_missed_tokens(counted.missed_tokens);
+    counter->set_generated_tokens(counted.generated_tokens);
+    write_latencies(*counter->mutable_first_token(), counted.first_event);
+    write_latencies(*counter->mutable_inter_token(), counted.between_events);
+  }
+  report.set_counters_base(base);
+}
+
 }  // namespace
 
-UnitCounter& path_counter(DataState& state, const std::string& unit, const std::string& worker, Moment now) {
-  auto& counter = state.path.counters[unit][worker];
+UnitCounter& path_counter(DataState& state, const std::string& unit, Moment now) {
+  auto& counter = state.path.counters[unit];
   counter.counted = now;
+  counter.changed_after = state.reports_sent;
   return counter;
 }
 
+UnitUse& path_use(DataState& state, const std::string& unit) {
+  auto& use = state.path.units[unit];
+  use.changed_after = state.reports_sent;
+  return use;
+}
+
 void path_report(DataState& state, std::uint64_t node, const std::string& address, std::uint64_t round, Moment now,
                  Effects& effects) {
   if (round != 0) drop_gone(state, now);
   state.path.fresh.clear();
+  const auto known = state.path.known_reports.holder == node ? state.path.known_reports : KnownReports{};
   auto envelope = begin_report(state, node);
-  auto* report = envelope.mutable_counter_report();
-  report->set_round(round);
-  const auto told_for = (round != 0 ? unit_told_bounds : unit_told_unasked_bounds) * state.options.member.bound;
-  for (const auto& [name, use] : state.path.units) {
-    const bool told = !use.waiting.empty() || use.running > 0 || now - use.last_used < told_for;
-    if (told) write_unit(state, name, use, now, *report->add_backlogs());
-  }
-  if (round != 0)
-    for (const auto& [unit, workers] : state.path.counters)
-      for (const auto& [worker, counted] : workers) {
-        auto* counter = report->add_counters();
-        counter->set_unit(unit);
-        counter->set_worker(worker);
-        counter->set_missed_tokens(counted.missed_tokens);
-        counter->set_generated_tokens(counted.generated_tokens);
-        write_latencies(*counter->mutable_first_token(), counted.first_event);
-        write_latencies(*counter->mutable_inter_token(), counted.between_events);
-      }
+  auto& report = *envelope.mutable_counter_report();
+  report.set_round(round);
+  write_backlogs(state, known.backlogs, round, now, report);
+  if (round != 0) write_counters(state, known.counters, report);
   effects.push_back(SendMessage{address, std::move(envelope)});
 }
 
--- a/src/core/forwarding/paths/state.hpp
+++ b/src/core/forwarding/paths/state.hpp
@@ -34,7 +34,8 @@
   std::map<std::string, LengthsByKind> lengths;
   /// Units that requests have begun to wait for since the last report.
   std::set<std::string> fresh;
-  std::map<std::string, std::map<std::string, UnitCounter>> counters;
+  std::map<std::string, UnitCounter> counters;
+  KnownReports known_reports;
   /// Workers that were looked at to place requests.
   std::uint64_t considered = 0;
   std::map<std::string, std::uint64_t> outcomes;
--- a/src/core/forwarding/paths/take.cpp
+++ b/src/core/forwarding/paths/take.cpp
@@ -153,7 +153,7 @@
   carry.reader.last = carry.call.last_event;
   budget_request(path.budgets[carry.service], now);
   if (!carry.unit.empty()) {
-    auto& use = path.units[carry.unit];
+    auto& use = path_use(state, carry.unit);
     use.last_used = now;
     asks_take(use.asks, state.options.member.bound, now);
     if (!carry.call.adapter.empty()) asks_take(use.adapters[carry.call.adapter].asks, state.options.member.bound, now);
--- a/src/core/operations/datametrics.cpp
+++ b/src/core/operations/datametrics.cpp
@@ -89,7 +89,7 @@
 void write_counters(MetricsText& text, const DataState& state) {
   std::uint64_t kept = 0;
   for (const auto& [unit, workers] : state.counters) kept += workers.size();
-  for (const auto& [unit, workers] : state.path.counters) kept += workers.size();
+  kept += state.path.counters.size();
   text.gauge("counters_kept", "Pairs of a model and a worker whose counters go into each report.").sample(kept);
   text.gauge("operations_forwarded", "Operators' requests that another process is to answer.");
   text.sample(state.operate.forwarded.size());
--- a/src/core/placement/demand.cpp
+++ b/src/core/placement/demand.cpp
@@ -50,7 +50,8 @@
   return report.number() != 0 && report.number() <= newest;
 }
 
-void demand_ask(DemandState& state, const MemberState& member, Moment now, Effects& effects) {
+void demand_ask(DemandState& state, const MemberState& member, const KnownBacklogs& known, Moment now,
+                Effects& effects) {
   state.open = true;
   state.asked = now;
   ++state.round;
@@ -59,7 +60,12 @@
   for (const auto* entry : live_members(member, Program::data)) {
     state.expected.insert(entry->node());
     auto envelope = member_envelope(member, entry->node());
-    envelope.mutable_counter_ask()->set_round(state.round);
+    auto& ask = *envelope.mutable_counter_ask();
+    ask.set_round(state.round);
+    if (known) {
+      ask.set_known_backlogs(known(entry->node()));
+      ask.set_known_counters(state.baselines.contains(entry->node()) ? state.baselines.at(entry->node()).number : 0);
+    }
     effects.push_back(SendMessage{entry->address(), std::move(envelope)});
   }
 }
@@ -81,6 +87,83 @@
   return now - state.asked >= state.bound / 3 || state.reports.size() >= state.expected.size();
 }
 
+namespace {
+
+/// Takes one data node's counters into its baseline, and what they grew by into the pass.
+class CounterReading {
+ public:
+  CounterReading(DemandPass& pass, SampledWorkers& sampled, const std::map<std::string, std::string>& phases,
+                 std::uint64_t limit)
+      : pass_(pass), sampled_(sampled), phases_(phases), limit_(limit) {}
+
+  /// `before` is null where nothing is known of the node, so that nothing can be said of this pass.
+  void take(wire::CounterReport& report, CounterBaseline* before, CounterBaseline& next) {
+    const bool counts = before != nullptr && !before->missed;
+    for (auto& counter : *report.mutable_counters()) {
+      const auto key = counter_key(counter);
+      if (!sampled(counter)) {
+        pass_.complete = false;
+        continue;
+      }
+      if (counts) add(before->counters, key, counter);
+      next.counters.insert_or_assign(next.counters.end(), key, std::move(counter));
+    }
+    next.number = report.number();
+    next.missed = false;
+  }
+
+ private:
+  bool sampled(const wire::Counter& counter) {
+    const auto phase = phases_.find(counter.worker());
+    const auto role = counter.unit() + "|" + (phase == phases_.end() ? "" : phase->second);
+    return sampled_.take(role, counter.worker(), limit_);
+  }
+
+  void add(const std::map<std::string, wire::Counter>& before, const std::string& key, const wire::Counter& counter) {
+    static const wire::Counter zero;
+    const auto found = before.find(key);
+    const auto& base = found == before.end() ? zero : found->second;
+    if (fallen(base, counter))
+      pass_.measured = pass_.complete = false;
+    else
+      add_counter(pass_.samples[counter.unit()], base, counter);
+  }
+
+  DemandPass& pass_;
+  SampledWorkers& sampled_;
+  const std::map<std::string, std::string>& phases_;
+  std::uint64_t limit_;
+};
+
+/// Takes a report of all counters, or of those that have changed since the one that is known.
+void take_counters(DemandState& state, std::uint64_t node, wire::CounterReport& report, CounterReading& reading) {
+  const auto known = state.baselines.find(node);
+  auto* before = known == state.baselines.end() ? nullptr : &known->second;
+  if (report.counters_base() == 0) {
+    CounterBaseline whole;
+    reading.take(report, before, whole);
+    state.baselines[node] = std::move(whole);
+  } else if (before != nullptr && before->number == report.counters_base()) {
+    reading.take(report, before, *before);
+  } else if (before != nullptr) {
+    before->missed = true;
+  }
+}
+
+/// Nodes that didn't answer: what they counted isn't of this pass. Those that have left are forgotten.
+void note_missed(DemandState& state, DemandPass& pass) {
+  for (auto& [node, baseline] : state.baselines) {
+    if (state.reports.contains(node)) continue;
+    baseline.missed = true;
+    pass.complete = false;
+  }
+  std::erase_if(state.baselines, [&](const auto& item) {
+    return !state.reports.contains(item.first) && !state.expected.contains(item.first);
+  });
+}
+
+}  // namespace
+
 DemandPass demand_close(DemandState& state, std::uint64_t sample_limit,
                         const std::map<std::string, std::string>& phases, Moment now) {
   state.open = false;
@@ -91,36 +174,9 @@
   for (const auto node : state.expected)
     if (!state.reports.contains(node) || !state.baselines.contains(node)) pass.complete = false;
   SampledWorkers sampled;
-  for (auto& [node, report] : state.reports) {
-    const auto known = state.baselines.find(node);
-    std::map<std::string, wire::Counter> fresh;
-    for (auto& counter : *report.mutable_counters()) {
-      const auto phase = phases.find(counter.worker());
-      const auto role = counter.unit() + "|" + (phase == phases.end() ? "" : phase->second);
-      if (!sampled.take(role, counter.worker(), sample_limit)) {
-        pass.complete = false;
-        continue;
-      }
-      // Nodes tell their counters in this order, so that the place is mostly at the end.
-      auto& kept = fresh.emplace_hint(fresh.end(), counter_key(counter), wire::Counter())->second;
-      kept = std::move(counter);
-      if (known == state.baselines.end()) continue;
-      static const wire::Counter zero;
-      const auto before = known->second.find(counter_key(kept));
-      const auto& base = before == known->second.end() ? zero : before->second;
-      if (fallen(base, kept)) {
-        pass.measured = pass.complete = false;
-        continue;
-      }
-      add_counter(pass.samples[kept.unit()], base, kept);
-    }
-    state.baselines[node] = std::move(fresh);
-  }
-  std::erase_if(state.baselines, [&](const auto& item) {
-    const bool gone = !state.reports.contains(item.first);
-    if (gone) pass.complete = false;
-    return gone;
-  });
+  CounterReading reading(pass, sampled, phases, sample_limit);
+  for (auto& [node, report] : state.reports) take_counters(state, node, report, reading);
+  note_missed(state, pass);
   if (pass.from == 0) pass.measured = pass.complete = false;
   for (auto& [unit, sample] : pass.samples) {
     sample.from = pass.from;
--- a/src/core/placement/demand.hpp
+++ b/src/core/placement/demand.hpp
@@ -1,4 +1,6 @@
 #pragma once
+#include <functional>
+
 #include "core/membership/member.hpp"
 #include "core/placement/placer.hpp"
 
@@ -15,10 +17,19 @@
   std::uint64_t number = 0;
 };
 
+/// One data node's counters as they were told last.
+struct CounterBaseline {
+  /// Number of the report that brought them up to date; 0 where the node doesn't number them.
+  std::uint64_t number = 0;
+  /// It didn't answer the last ask: what it counted since isn't of one pass.
+  bool missed = false;
+  std::map<std::string, wire::Counter> counters;
+};
+
 /// Counters of the routing nodes as the duty holder collects them.
 struct DemandState {
   Moment bound = 3000;
-  std::map<std::uint64_t, std::map<std::string, wire::Counter>> baselines;
+  std::map<std::uint64_t, CounterBaseline> baselines;
   std::map<std::uint64_t, wire::CounterReport> reports;
   std::map<std::uint64_t, HeardReport> backlogs;
   std::set<std::uint64_t> expected;
@@ -37,8 +48,11 @@
   Moment until = 0;
 };
 
-/// Asks every routing node for its counters.
-void demand_ask(DemandState& state, const MemberState& member, Moment now, Effects& effects);
+/// Tells the number of a data node's newest report whose backlogs are known, or 0.
+using KnownBacklogs = std::function<std::uint64_t(std::uint64_t node)>;
+/// Asks every routing node for its counters, or for what has changed where it is said what is known.
+void demand_ask(DemandState& state, const MemberState& member, const KnownBacklogs& known, Moment now,
+                Effects& effects);
 /// Takes a report of counters or of backlogs.
 void demand_receive(DemandState& state, const wire::Envelope& envelope, Moment now);
 /// Takes a report's counters alone, where it answers the ask that is open.
--- a/src/core/placement/placing.cpp
+++ b/src/core/placement/placing.cpp
@@ -143,7 +143,9 @@
   if (context.now >= state.next_pass && !state.demand.open) {
     state.last_pass = context.now;
     state.next_pass = context.now + state.bound * 2 / passes_per_bound;
-    demand_ask(state.demand, context.member, context.now, effects);
+    demand_ask(
+        state.demand, context.member, [&](std::uint64_t node) { return wants_known(state.wants, node); }, context.now,
+        effects);
   }
   const CommandContext command{*context.paths, context.dialect, context.limits, context.numbers, context.now};
   for (const auto& identity : command_tick(state.command, command, effects)) placing_touch(state, identity);
--- a/src/core/placement/steward.cpp
+++ b/src/core/placement/steward.cpp
@@ -83,7 +83,7 @@
   platform_tick(state.platform, context.numbers, context.now, effects);
   if (context.now >= state.next_pass && !state.demand.open) {
     state.next_pass = context.now + static_cast<Moment>(context.document.scaler.interval_s * 1000);
-    demand_ask(state.demand, context.member, context.now, effects);
+    demand_ask(state.demand, context.member, {}, context.now, effects);
   }
   if (context.now >= state.next_decision) {
     state.next_decision = context.now + state.bound / decisions_per_bound;
--- a/src/core/placement/wants.cpp
+++ b/src/core/placement/wants.cpp
@@ -36,6 +36,11 @@
   return result;
 }
 
+/// True for what counts as much as nothing told.
+bool rests(const NodeBacklog& backlog) {
+  return backlog.waiting == 0 && backlog.running == 0 && backlog.adapters.empty();
+}
+
 bool says_same(const NodeBacklog& before, const wire::Backlog& after) {
   return after.waiting() == 0 && before.waiting == 0 && before.running == after.running() &&
          before.adapters == read_adapters(after);
@@ -152,10 +157,13 @@
     const bool known = place != told.backlogs.end() && place->unit == backlog.unit();
     NodeBacklog next;
     fresh |= take_backlog(index, node, known ? &*place : nullptr, backlog, now, next);
-    if (known)
+    if (rests(next)) {
+      if (known) told.backlogs.erase(place);
+    } else if (known) {
       *place = std::move(next);
-    else
+    } else {
       told.backlogs.insert(place, std::move(next));
+    }
     mark_used(index.units[backlog.unit()], backlog, now);
     take_asks(index, backlog, now);
   }
@@ -190,11 +198,22 @@
   return fresh;
 }
 
+/// True when all that has changed at the node is known with this report. Unasked, a node leaves out units that rest.
+bool tells_all(const wire::CounterReport& report, std::uint64_t known) {
+  return report.partial() ? report.base() != 0 && report.base() <= known : report.round() != 0;
+}
+
 }  // namespace
 
+std::uint64_t wants_known(const WantsIndex& index, std::uint64_t node) {
+  const auto found = index.nodes.find(node);
+  return found == index.nodes.end() ? 0 : found->second.known;
+}
+
 bool wants_take(WantsIndex& index, std::uint64_t node, const wire::CounterReport& report, Moment now) {
   auto& told = index.nodes[node];
   if (report_overtaken(report, told.number)) return false;
+  if (tells_all(report, told.known)) told.known = report.number();
   told.number = std::max(told.number, report.number());
   told.heard = now;
   return report.partial() ? take_part(index, node, told, report, now) : take_whole(index, node, told, report, now);
@@ -205,6 +224,7 @@
     if (now - told.heard <= index.bound) continue;
     for (const auto& backlog : told.backlogs) forget(index, node, backlog);
     told.backlogs.clear();
+    told.known = 0;
   }
 }
 
--- a/src/core/placement/wants.hpp
+++ b/src/core/placement/wants.hpp
@@ -31,6 +31,8 @@
   Moment heard = 0;
   /// The node's own number of the newest report; 0 where it doesn't number them.
   std::uint64_t number = 0;
+  /// The number up to which all that changed there is known; 0 for none.
+  std::uint64_t known = 0;
   /// Sorted by unit.
   std::vector<NodeBacklog> backlogs;
 };
@@ -64,6 +66,8 @@
 bool wants_take(WantsIndex& index, std::uint64_t node, const wire::CounterReport& report, Moment now);
 /// Forgets what nodes told that haven't reported within the bound.
 void wants_expire(WantsIndex& index, Moment now);
+/// Number of the node's newest report with which all that it has told is known; 0 where it has to tell all.
+std::uint64_t wants_known(const WantsIndex& index, std::uint64_t node);
 /// True when the node has reported within the bound.
 bool wants_heard(const WantsIndex& index, std::uint64_t node, Moment now);
 
