--- a/src/core/eventlane.cpp
+++ b/src/core/eventlane.cpp
@@ -15,4 +15,7 @@
 bool looks_between_urgent(const DataState&) { return true; }
 bool looks_between_urgent(const ControlState&) { return false; }
 
+bool paces_ticks(const DataState&) { return false; }
+bool paces_ticks(const ControlState&) { return true; }
+
 }  // namespace weldsail
--- a/src/core/eventlane.hpp
+++ b/src/core/eventlane.hpp
@@ -17,4 +17,8 @@
 bool looks_between_urgent(const DataState& state);
 bool looks_between_urgent(const ControlState& state);
 
+/// True where ticks that take long come less often. Those of a data-plane process bound how late requests are moved on.
+bool paces_ticks(const DataState& state);
+bool paces_ticks(const ControlState& state);
+
 }  // namespace weldsail
--- a/src/core/eventqueue.cpp
+++ b/src/core/eventqueue.cpp
@@ -1,5 +1,7 @@
 #include "core/eventqueue.hpp"
 
+#include <algorithm>
+
 namespace weldsail {
 namespace {
 
@@ -23,6 +25,10 @@
 }
 
 void EventQueue::put_later(Event event, Moment now) {
+  if (!std::holds_alternative<MessageArrived>(event)) {
+    answers_.push_back({now, now, std::move(event)});
+    return;
+  }
   const auto* report = whole_report(event);
   if (report != nullptr)
     if (auto* former = replaceable(*report)) {
@@ -31,7 +37,7 @@
       ++replaced_;
       return;
     }
-  if (later_.size() >= waiting_most && std::holds_alternative<MessageArrived>(event)) {
+  if (later_.size() >= waiting_most) {
     ++dropped_;
     return;
   }
@@ -46,13 +52,30 @@
   return event;
 }
 
+Moment EventQueue::waited(Moment now) const {
+  const auto age = [&](const std::deque<Waiting>& lane) { return lane.empty() ? 0 : now - lane.front().since; };
+  return std::max(age(answers_), age(later_));
+}
+
 std::optional<Event> EventQueue::take_later(Moment now) {
+  const bool messages_turn = answers_taken_ >= answers_in_a_row && !later_.empty();
+  if (answers_.empty() || messages_turn) {
+    answers_taken_ = 0;
+    return take_message(now);
+  }
+  ++answers_taken_;
+  auto waiting = std::move(answers_.front());
+  answers_.pop_front();
+  if (std::holds_alternative<PipeEnded>(waiting.event)) answer_waits_.add(now - waiting.since);
+  return std::move(waiting.event);
+}
+
+std::optional<Event> EventQueue::take_message(Moment now) {
   while (!later_.empty()) {
     auto waiting = std::move(later_.front());
     later_.pop_front();
     ++taken_;
-    if (now - waiting.came <= age_most || !std::holds_alternative<MessageArrived>(waiting.event))
-      return std::move(waiting.event);
+    if (now - waiting.came <= age_most) return std::move(waiting.event);
     ++dropped_;
   }
   if (reports_.size() > waiting_most) reports_.clear();
--- a/src/core/operations/commonmetrics.cpp
+++ b/src/core/operations/commonmetrics.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "core/configuration/fetch.hpp"
+#include "core/eventqueue.hpp"
 #include "core/operations/metrics.hpp"
 
 namespace weldsail {
@@ -126,6 +127,10 @@
   text.counter("reports_replaced_total",
                "Reports that newer ones of the same data node replaced before they were taken.");
   text.sample(transport.reports_replaced);
+  if (!transport.answer_waits.empty()) {
+    text.histogram("worker_answer_wait_seconds", "Time for which answers of workers waited for the one thread.");
+    text.buckets(wait_buckets, transport.answer_waits, transport.answer_waits_sum, {});
+  }
   write_costs(text, transport.costs);
 }
 
--- a/src/core/operations/controlmetrics.cpp
+++ b/src/core/operations/controlmetrics.cpp
@@ -96,6 +96,13 @@
   text.counter("placement_decisions_total", "Turns of deciding in this term.").sample(placing.work.decisions);
   text.counter("placement_units_looked_at_total", "Models that these turns looked at.").sample(placing.work.units);
   text.counter("placement_workers_looked_at_total", "Workers that they looked at.").sample(placing.work.workers);
+  text.counter("placement_places_cut_total", "Times that a model lacked a holder beyond the places of a turn.");
+  text.sample(placing.work.places_cut);
+  text.counter("store_loads_forgone_total",
+               "Loads that the store allowed and that weren't given while some were owed.");
+  text.sample(static_cast<std::uint64_t>(placing.command.store.forgone));
+  text.histogram("placement_commit_seconds", "Time from a decision until a majority had it.");
+  text.buckets(wait_buckets, placing.commits.counts, placing.commits.sum, {});
   text.gauge("placement_work_open", "Workers that may hold something else than decided.");
   text.sample(placing.open_work.size());
   text.gauge("placement_bytes", "Bytes of the placement as it was last proposed.").sample(placing.proposed.size());
--- a/src/core/placement/decide.cpp
+++ b/src/core/placement/decide.cpp
@@ -62,6 +62,7 @@
   next.set_term(state.term);
   state.proposed = state.text.write(state.draft, next);
   state.next = std::move(next);
+  state.proposed_at = context.now;
   if (!register_propose(context.owner, context.member, context.core, state.proposed, context.now, effects))
     drop_draft(state);
 }
--- a/src/core/placement/fit.cpp
+++ b/src/core/placement/fit.cpp
@@ -121,6 +121,7 @@
     auto& tried = tried_[unit_cell(unit)];
     const bool may = tried.contains(unit) || tried.size() < input_.places_most;
     if (may) tried.insert(unit);
+    if (!may && input_.work != nullptr) ++input_.work->places_cut;
     if (may && lacks(unit) && place(unit)) return true;
     still_lacking_ |= lacks(unit);
     return false;
--- a/src/core/placement/placing.cpp
+++ b/src/core/placement/placing.cpp
@@ -124,6 +124,7 @@
   const bool own = !state.proposed.empty() && context.owner.value == state.proposed;
   state.proposed.clear();
   if (!own) return adopt_value(state, context);
+  state.commits.add(context.now - state.proposed_at);
   state.committed = std::move(state.next);
   for (const auto& identity : state.draft.touched_workers) placing_touch(state, identity);
   plan_follow(state.plan, state.draft);
@@ -139,6 +140,7 @@
   take_paths(state, context);
   wants_expire(state.wants, context.now);
   store_rate(state.command.store, *context.paths, context.limits, context.now);
+  state.command.store.wanted = state.overdue.models > 0;
   overdue_check(state.overdue, state.wants, *context.paths, state.command.store.loads_per_s, context.now, effects);
   if (context.now >= state.next_pass && !state.demand.open) {
     state.last_pass = context.now;
--- a/src/core/placement/placing.hpp
+++ b/src/core/placement/placing.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include "core/eventqueue.hpp"
 #include "core/placement/command.hpp"
 #include "core/placement/counts.hpp"
 #include "core/placement/listing.hpp"
@@ -30,6 +31,9 @@
   CountClocksByUnit clocks;
   WantsIndex wants;
   OverdueState overdue;
+  /// When the proposal under way was made, and how long those that were committed took.
+  Moment proposed_at = 0;
+  WaitHistogram commits;
   Moment next_pass = 0;
   Moment last_pass = 0;
   Moment next_decision = 0;
--- a/src/core/placement/plan.hpp
+++ b/src/core/placement/plan.hpp
@@ -76,6 +76,8 @@
   std::uint64_t searched = 0;
   /// Models that gave way to others, and those of them that hadn't served anybody since they were loaded.
   std::uint64_t displaced = 0;
+  /// Times that a unit lacked a holder and wasn't looked at, as the turn's places were given.
+  std::uint64_t places_cut = 0;
   std::uint64_t displaced_unserved = 0;
 };
 
--- a/src/core/placement/store.cpp
+++ b/src/core/placement/store.cpp
@@ -18,13 +18,16 @@
 
 void fill(StoreShare& share, const Limits& limits, Moment now) {
   const auto passed = static_cast<double>(std::max<Moment>(0, now - share.filled)) / milliseconds;
-  share.ready = std::min(burst(share, limits), share.ready + passed * share.loads_per_s);
+  const auto most = burst(share, limits);
+  const auto saved = share.ready + passed * share.loads_per_s;
+  if (share.wanted) share.forgone += std::max(0.0, saved - most);
+  share.ready = std::min(most, saved);
   share.filled = now;
 }
 
 }  // namespace
 
-void store_begin(StoreShare& share, Moment now) { share = {share.loads_per_s, 0, now}; }
+void store_begin(StoreShare& share, Moment now) { share = {.loads_per_s = share.loads_per_s, .filled = now}; }
 
 void store_rate(StoreShare& share, const PathConfig& paths, const Limits& limits, Moment now) {
   double rate = 0;
--- a/src/core/placement/store.hpp
+++ b/src/core/placement/store.hpp
@@ -9,6 +9,10 @@
   double loads_per_s = 0;
   double ready = 0;
   Moment filled = 0;
+  /// Something that callers wait for may be waiting for a load.
+  bool wanted = false;
+  /// Loads that the rate allowed and that were lost, as too many had been saved up, while `wanted`.
+  double forgone = 0;
 };
 
 /// Begins a term with nothing ready: a former holder may have used its part up to now.
--- a/src/core/traffic.cpp
+++ b/src/core/traffic.cpp
@@ -1,5 +1,7 @@
 #include "core/traffic.hpp"
 
+#include <algorithm>
+
 #include "wire.pb.h"
 
 namespace weldsail {
@@ -35,4 +37,27 @@
   }
 }
 
+TrafficByKind traffic_since(const TrafficByKind& before, const TrafficByKind& now) {
+  auto result = now;
+  for (const auto& [kind, former] : before) {
+    result[kind].messages -= former.messages;
+    result[kind].bytes -= former.bytes;
+  }
+  return result;
+}
+
+std::string traffic_text(const TrafficByKind& traffic, std::size_t most) {
+  constexpr std::uint64_t kilobyte = 1000;
+  std::vector<std::pair<int, KindTraffic>> order(traffic.begin(), traffic.end());
+  std::ranges::stable_sort(order, std::ranges::greater{}, [](const auto& item) { return item.second.bytes; });
+  std::string text;
+  for (const auto& [kind, counted] : order) {
+    if (most-- == 0 || counted.messages == 0) break;
+    if (!text.empty()) text += ' ';
+    text += message_kind_name(kind);
+    text += ':' + std::to_string(counted.messages) + ':' + std::to_string(counted.bytes / kilobyte);
+  }
+  return text;
+}
+
 }  // namespace weldsail
--- a/src/core/traffic.hpp
+++ b/src/core/traffic.hpp
@@ -1,6 +1,8 @@
 #pragma once
 #include <cstdint>
 #include <map>
+#include <string>
+#include <vector>
 
 #include "core/eventcost.hpp"
 
@@ -39,6 +41,9 @@
   std::uint64_t events_dropped = 0;
   /// Reports of data nodes that newer ones replaced before they were taken.
   std::uint64_t reports_replaced = 0;
+  /// Waits of workers' answers for the thread, by the buckets of `wait_buckets`, and their sum in milliseconds.
+  std::vector<std::uint64_t> answer_waits;
+  std::int64_t answer_waits_sum = 0;
   /// Time of the process's thread by kind of event; reading and writing connections are `read` and `write`.
   EventCosts costs;
 };
@@ -50,6 +55,11 @@
   counted.bytes += bytes;
 }
 
+/// Traffic since an earlier reading of the same counters.
+TrafficByKind traffic_since(const TrafficByKind& before, const TrafficByKind& now);
+/// The kinds with the most bytes as `kind:messages:kilobytes`, at most so many, the largest first.
+std::string traffic_text(const TrafficByKind& traffic, std::size_t most);
+
 /// Name of the kind of a message by the number of its body's field; "other" where it isn't known.
 const char* message_kind_name(int kind);
 
--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -7,6 +7,7 @@
 #include "core/eventkind.hpp"
 #include "core/eventlane.hpp"
 #include "core/json.hpp"
+#include "core/tickpace.hpp"
 
 namespace weldsail {
 namespace {
@@ -177,12 +178,16 @@
   if (age < late_events || now < next_late_note_) return;
   next_late_note_ = now + late_notes_pace;
   const auto costs = costs_since(std::exchange(costs_noted_, costs_), costs_);
+  TransportFigures figures;
+  messenger_.observe(figures);
+  const auto received = traffic_since(std::exchange(received_noted_, figures.received), figures.received);
   log_note({"events.late",
             {{"waited_ms", std::to_string(age)},
              {"waiting", std::to_string(queue_.waiting_later())},
              {"dropped", std::to_string(queue_.dropped())},
              {"replaced", std::to_string(queue_.replaced())},
-             {"costs", costs_text(costs, kinds_noted)}},
+             {"costs", costs_text(costs, kinds_noted)},
+             {"received", traffic_text(received, kinds_noted)}},
             true});
 }
 
@@ -194,7 +199,9 @@
   const Stopwatch watch(costs_, event_kind(event));
   auto effects = reduce(state_, event, begun);
   for (auto& effect : effects) carry_out(effect);
-  if (std::holds_alternative<Ticked>(event)) tick_took_ = monotonic_now() - begun;
+  if (!std::holds_alternative<Ticked>(event)) return;
+  tick_took_ = monotonic_now() - begun;
+  if (paces_ticks(state_)) next_tick_ = std::max(next_tick_, begun + tick_pause(place_.tick, tick_took_));
 }
 
 template <typename State>
@@ -206,6 +213,9 @@
   observed.figures.waiting_ms = static_cast<std::uint64_t>(queue_.waited(monotonic_now()));
   observed.figures.events_dropped = queue_.dropped();
   observed.figures.reports_replaced = queue_.replaced();
+  const auto& waits = queue_.answer_waits();
+  observed.figures.answer_waits.assign(waits.counts.begin(), waits.counts.end());
+  observed.figures.answer_waits_sum = waits.sum;
   observed.figures.costs = costs_;
   return observed;
 }
--- a/src/shell/node.hpp
+++ b/src/shell/node.hpp
@@ -66,6 +66,7 @@
   EventCosts costs_;
   /// As they were when late events were last told.
   EventCosts costs_noted_;
+  TrafficByKind received_noted_;
   Moment next_late_note_ = 0;
   Moment next_tick_ = 0;
   /// Milliseconds that the last tick took.
--- a/test/sim/placingfleet.cpp
+++ b/test/sim/placingfleet.cpp
@@ -187,7 +187,10 @@
   });
   const bool fresh = std::ranges::any_of(waiting, [&](const auto& name) { return !told_waiting_.contains(name); });
   told_waiting_ = std::move(waiting);
-  if (fresh || world.now() >= next_report_) report(0);
+  if (asks_.reports_apart)
+    report_apart();
+  else if (fresh || world.now() >= next_report_)
+    report(0);
 }
 
 void PlacingFleet::step() {
--- a/test/sim/placingfleet.hpp
+++ b/test/sim/placingfleet.hpp
@@ -23,6 +23,9 @@
   /// Data nodes; each of as many reporters tells its share of the requests, or one of them all.
   std::size_t data_nodes = 3;
   std::size_t reporters = 1;
+  /// Each reporter tells its share at a time of its own, not all at once, and without a further report of what begins
+  /// to wait.
+  bool reports_apart = false;
 };
 
 /// One request, as far as placing is concerned.
@@ -71,6 +74,8 @@
   void refuse(AskedModel& item);
   void run();
   void report(std::uint64_t round);
+  /// Reports of those reporters whose time has come.
+  void report_apart();
   /// Tells the holder what the callers of one reporter ask for.
   void report_share(const std::string& target, std::size_t share, std::uint64_t round);
   bool begin(AskedModel& item);
--- a/test/sim/placingreport.cpp
+++ b/test/sim/placingreport.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Moment report_pace = 1000;
+constexpr Moment step_time = 20;
 constexpr Moment report_bound = 3000;
 constexpr std::uint64_t reporter = 900001;
 
@@ -23,6 +24,14 @@
   for (std::size_t share = 0; share < asks_.reporters; ++share) report_share(target, share, round);
 }
 
+void PlacingFleet::report_apart() {
+  const auto target = holder();
+  if (target.empty()) return;
+  const auto steps = static_cast<std::size_t>(report_pace / step_time);
+  const auto turn = static_cast<std::size_t>(world.now() / step_time) % steps;
+  for (auto share = turn; share < asks_.reporters; share += steps) report_share(target, share, 0);
+}
+
 void PlacingFleet::report_share(const std::string& target, std::size_t share, std::uint64_t round) {
   std::map<std::string, wire::Backlog> backlogs;
   std::map<std::string, std::map<std::string, int>> adapters;
--- a/test/sim/world.cpp
+++ b/test/sim/world.cpp
@@ -1,7 +1,11 @@
 #include "sim/world.hpp"
 
+#include <cmath>
 #include <ctime>
 
+#include "core/eventlane.hpp"
+#include "core/tickpace.hpp"
+
 namespace weldsail::sim {
 namespace {
 
@@ -42,6 +46,7 @@
   node.unsynced.clear();
   node.syncing = false;
   node.inbox.clear();
+  if (node.processor) node.processor->queue = {};
   links.clear(address);
   for (auto& [request, told] : std::exchange(node.told, {})) {
     const auto asker = node.askers.find(request);
@@ -62,7 +67,8 @@
   node.woken = now_;
   const auto life = node.life;
   for (auto& event : std::exchange(node.inbox, {}))
-    if (node.life == life) step(node, event);
+    if (node.life == life) give(address, life, std::move(event));
+  if (node.processor) schedule(node);
 }
 
 void World::empty_disk(const std::string& address) {
@@ -108,6 +114,7 @@
 void World::tick_node(const std::string& address, std::uint64_t life) {
   auto& node = nodes_.at(address);
   if (!node.alive || node.life != life) return;
+  if (node.processor && !node.frozen) return give(address, life, Ticked{chance.number(), node.tick_took});
   if (!node.frozen) step(node, Ticked{chance.number(), node.tick_took});
   at(now_ + tick, [this, address, life] { tick_node(address, life); });
 }
@@ -115,10 +122,44 @@
 void World::give(const std::string& address, std::uint64_t life, Event event) {
   auto& node = nodes_.at(address);
   if (!node.alive || node.life != life) return;
-  if (node.frozen)
+  if (node.frozen) {
     node.inbox.push_back(std::move(event));
-  else
-    step(node, event);
+    return;
+  }
+  if (!node.processor) return step(node, event);
+  const auto lane = std::visit([&](const auto& state) { return event_lane(state, event); }, node.state);
+  auto& queue = node.processor->queue;
+  if (lane == EventLane::first) queue.put_first(std::move(event));
+  if (lane == EventLane::urgent) queue.put_urgent(std::move(event));
+  if (lane == EventLane::later) queue.put_later(std::move(event), now_);
+  schedule(node);
+}
+
+void World::schedule(SimNode& node) {
+  auto& processor = *node.processor;
+  if (processor.scheduled || processor.queue.waiting() == 0) return;
+  processor.scheduled = true;
+  at(static_cast<Moment>(std::ceil(processor.free_at)),
+     [this, address = node.address, life = node.life] { take_next(address, life); });
+}
+
+void World::take_next(const std::string& address, std::uint64_t life) {
+  auto& node = nodes_.at(address);
+  auto& processor = *node.processor;
+  processor.scheduled = false;
+  if (!node.alive || node.life != life || node.frozen) return;
+  auto& queue = processor.queue;
+  const auto event = queue.has_urgent() ? std::optional(queue.take_urgent()) : queue.take_later(now_);
+  if (event) {
+    const auto cost = processor.cost(*event);
+    processor.free_at = std::max(processor.free_at, static_cast<double>(now_)) + cost;
+    if (std::holds_alternative<Ticked>(*event)) {
+      node.tick_took = static_cast<Moment>(cost);
+      at(now_ + tick_pause(tick, node.tick_took), [this, address, life] { tick_node(address, life); });
+    }
+    step(node, *event);
+  }
+  if (node.life == life) schedule(node);
 }
 
 std::uint64_t World::ask(const std::string& address, RequestArrived request,
--- a/test/sim/world.hpp
+++ b/test/sim/world.hpp
@@ -7,6 +7,7 @@
 
 #include "core/control.hpp"
 #include "core/data.hpp"
+#include "core/eventqueue.hpp"
 #include "sim/links.hpp"
 
 namespace weldsail::sim {
@@ -44,6 +45,16 @@
   Moment at = 0;
 };
 
+/// A processor that a node's process has to itself: events wait for it by the process's own queue, and each takes time.
+struct Processor {
+  /// Milliseconds that the process spends on an event.
+  std::function<double(const Event&)> cost;
+  EventQueue queue = {};
+  /// When the event in hand is done.
+  double free_at = 0;
+  bool scheduled = false;
+};
+
 /// One of our processes with its machine.
 struct SimNode {
   std::string address;
@@ -70,6 +81,8 @@
   Records disk;
   std::vector<std::pair<std::uint64_t, std::vector<std::pair<std::string, std::string>>>> unsynced;
   std::vector<Event> inbox;
+  /// None where events take no time.
+  std::optional<Processor> processor;
   std::map<std::uint64_t, std::function<void(const Told&)>> askers;
   std::map<std::uint64_t, Told> told;
   std::uint64_t next_request = 1;
@@ -155,6 +168,9 @@
   void begin_sync(const std::string& address, std::uint64_t life);
   void tell(SimNode& node, std::uint64_t request, const std::function<void(Told&)>& change, bool ended);
   void tick_node(const std::string& address, std::uint64_t life);
+  /// Lets the processor begin the next event that waits, as soon as it is free.
+  void schedule(SimNode& node);
+  void take_next(const std::string& address, std::uint64_t life);
 
   std::priority_queue<Scheduled, std::vector<Scheduled>, std::greater<>> scheduled_;
   std::map<std::string, SimNode> nodes_;
