--- a/src/core/placement/store.cpp
+++ b/src/core/placement/store.cpp
@@ -14,7 +14,8 @@
   return std::max(0.0, (limits.ceiling_overshoot - 1) * share.loads_per_s * window) + beyond_rate;
 }
 
-double burst(const StoreShare& share, const Limits& limits) { return std::min(beyond_rate, margin(share, limits) / 2); }
+/// Loads that may be saved up. The other half of the margin is for loads in doubt.
+double burst(const StoreShare& share, const Limits& limits) { return margin(share, limits) / 2; }
 
 void fill(StoreShare& share, const Limits& limits, Moment now) {
   const auto passed = static_cast<double>(std::max<Moment>(0, now - share.filled)) / milliseconds;
