--- a/src/core/placement/relays.cpp
+++ b/src/core/placement/relays.cpp
@@ -28,7 +28,6 @@
 }
 
 const wire::Member* Relays::choose(const std::string& locality) const {
-  if (holder_->locality() == locality) return nullptr;
   const auto key = digest(locality);
   const wire::Member* best = nullptr;
   // Processes with a disk run on machines of their own; the others share theirs with a data node.
@@ -36,7 +35,7 @@
     return std::tuple(entry.disk() != 0, rendezvous_weight(key, entry.node()), entry.node());
   };
   for (const auto* entry : live_members(member_, Program::control))
-    if (may_relay(*entry, locality) && (best == nullptr || rank(*entry) > rank(*best))) best = entry;
+    if (entry != holder_ && may_relay(*entry, locality) && (best == nullptr || rank(*entry) > rank(*best))) best = entry;
   return best;
 }
 
