--- a/src/core/placement/places.cpp
+++ b/src/core/placement/places.cpp
@@ -125,12 +125,24 @@
   return !book_holds(*site.book, model) && input_.now - *asks.last_asked < input_.bound;
 }
 
-bool PlaceSearch::may_give_way(const Site& site, const Resident& resident, const UnitWants& taker) {
+bool PlaceSearch::may_ever_give_way(const Site& site, const Resident& resident) {
   if (!input_.demand_known || resident.cooling || wants_wait(*resident.wants, input_)) return false;
   if (refusals_active(site.book->refused_unloads, unit_model(resident.unit), input_.now)) return false;
+  if (resident.wants->demand.running > 0) return spare_of(resident.unit) > 0;
+  return wants_quiet(*resident.wants, input_.now) >= input_.bound / least_quiet_part && !turn_ahead(site, resident);
+}
+
+bool PlaceSearch::all_stay(Site& site) {
+  if (!site.all_stay)
+    site.all_stay = std::ranges::none_of(
+        site.residents, [&](const Resident& resident) { return may_ever_give_way(site, resident); });
+  return *site.all_stay;
+}
+
+bool PlaceSearch::may_give_way(const Site& site, const Resident& resident, const UnitWants& taker) {
+  if (!may_ever_give_way(site, resident)) return false;
   const bool in_use = wants_wait(taker, input_) || taker.demand.running > 0;
-  if (resident.wants->demand.running > 0) return in_use && spare_of(resident.unit) > 0;
-  if (turn_ahead(site, resident)) return false;
+  if (resident.wants->demand.running > 0) return in_use;
   const auto needed =
       std::max(input_.bound / least_quiet_part, (input_.bound - wants_age(taker, input_)) / wanted_quiet_part);
   const auto own = in_use ? 0 : wants_quiet(taker, input_.now);
@@ -170,7 +182,8 @@
     if (input_.work != nullptr) ++input_.work->searched;
     const bool from_disk = site.book->had.contains(model) || book_holds(*site.book, model);
     const bool evict = give_way == GiveWay::anywhere || (give_way == GiveWay::for_disk && from_disk);
-    if (!evict && site.planned_weights + weights > service.room_mb) continue;
+    const bool room = site.planned_weights + weights <= service.room_mb;
+    if (!room && (!evict || all_stay(site))) continue;
     if (site.planned->models.contains(model)) continue;
     if (refusals_active(site.book->refused_loads, model, input_.now)) continue;
     const auto victims = victims_at(site, service, weights, taker);
--- a/src/core/placement/places.hpp
+++ b/src/core/placement/places.hpp
@@ -50,6 +50,8 @@
       double load = 0;
     };
     std::optional<Costs> costs = {};
+    /// Nothing there gives way to anybody, however urgent.
+    std::optional<bool> all_stay = {};
   };
   using Sites = std::map<std::string, Site>;
 
@@ -59,6 +61,9 @@
   std::optional<std::vector<const Resident*>> victims_at(const Site& site, const PathService& service,
                                                          std::int64_t weights, const UnitWants& taker);
   bool may_give_way(const Site& site, const Resident& resident, const UnitWants& taker);
+  /// May give way to the most urgent taker that there can be.
+  bool may_ever_give_way(const Site& site, const Resident& resident);
+  bool all_stay(Site& site);
   bool turn_ahead(const Site& site, const Resident& resident) const;
   double running_a_holder(const Resident& resident) const;
   /// Holders that a unit in use may still lose in this turn.
