--- a/src/core/asks.hpp
+++ b/src/core/asks.hpp
@@ -17,9 +17,6 @@
   std::optional<Moment> unserved_since = {};
 };
 
-/// Precedence of what comes last; 0 comes first.
-inline constexpr int least_urgency = 9;
-
 /// Takes a caller's ask.
 void asks_take(AskRecord& record, Moment bound, Moment now);
 /// A caller was served.
--- a/src/core/forwarding/paths/call.hpp
+++ b/src/core/forwarding/paths/call.hpp
@@ -108,8 +108,6 @@
   std::uint64_t running = 0;
   Moment last_used = 0;
   AskRecord asks;
-  /// The most urgent precedence of the asks since it was last served.
-  int urgency = least_urgency;
   std::map<std::string, AdapterUse> adapters;
   LengthsByKind lengths = {};
   /// Number of the last report that was sent before something here changed.
--- a/src/core/forwarding/paths/report.cpp
+++ b/src/core/forwarding/paths/report.cpp
@@ -52,7 +52,6 @@
   backlog.set_asked_age(told_age(use.asks.last_asked, now));
   backlog.set_served_age(told_age(use.asks.last_served, now));
   backlog.set_unserved_age(told_age(use.asks.unserved_since, now));
-  if (use.asks.unserved_since) backlog.set_urgency(static_cast<std::uint64_t>(std::max(0, use.urgency)) + 1);
   for (const auto request : use.waiting) {
     const auto& carry = state.path.carries.at(request);
     backlog.set_prompt_tokens(backlog.prompt_tokens() + carry.call.prompt_tokens);
--- a/src/core/forwarding/paths/take.cpp
+++ b/src/core/forwarding/paths/take.cpp
@@ -156,8 +156,6 @@
     auto& use = path_use(state, carry.unit);
     use.last_used = now;
     asks_take(use.asks, state.options.member.bound, now);
-    const auto urgency = carry.route.urgency;
-    use.urgency = use.asks.unserved_since == now ? urgency : std::min(use.urgency, urgency);
     if (!carry.call.adapter.empty()) asks_take(use.adapters[carry.call.adapter].asks, state.options.member.bound, now);
   }
   path.last_busy = now;
--- a/src/core/placement/decide.cpp
+++ b/src/core/placement/decide.cpp
@@ -113,7 +113,6 @@
   input.refused_units = &state.command.refused_units;
   input.work = &state.work;
   input.places_most = places_a_turn;
-  input.urgency_last = state.urgency_last;
   input.adapter_swap = command_adapter_swap(state.command);
   return input;
 }
--- a/src/core/placement/fit.cpp
+++ b/src/core/placement/fit.cpp
@@ -74,7 +74,7 @@
       crowded.emplace_back(static_cast<double>(holders) / requests, unit);
       continue;
     }
-    const auto waited = wants_wait(wants, input) ? -wants_turn(wants, input) - 1 : 0;
+    const auto waited = wants_wait(wants, input) ? -wants_age(wants, input) - 1 : 0;
     others.push_back({{waited, wants_quiet(wants, input.now)}, unit});
   }
   std::ranges::sort(crowded);
--- a/src/core/placement/line.cpp
+++ b/src/core/placement/line.cpp
@@ -43,11 +43,6 @@
   return std::max(held, asks_age(wants.asks, input.bound, input.now));
 }
 
-Moment wants_turn(const UnitWants& wants, const PlanInput& input) {
-  const auto steps = std::max(0, input.urgency_last - wants.urgency);
-  return wants_age(wants, input) * (1 + steps);
-}
-
 bool adapter_waits(const AdapterWants& wants, const PlanInput& input) {
   return wants.waiting > 0 || (wants.running == 0 && expected_back(wants.asks, input));
 }
--- a/src/core/placement/line.hpp
+++ b/src/core/placement/line.hpp
@@ -10,9 +10,6 @@
 bool unit_waits(const PlanInput& input, const std::string& unit);
 /// Milliseconds for which those that wait have been owed the unit, over all their tries; 0 where none waits.
 Moment wants_age(const UnitWants& wants, const PlanInput& input);
-/// The age by which units take turns: each step of precedence above the last one counts the age once more, so that what
-/// is urgent goes ahead and nothing waits for ever.
-Moment wants_turn(const UnitWants& wants, const PlanInput& input);
 /// The same for an adapter.
 bool adapter_waits(const AdapterWants& wants, const PlanInput& input);
 Moment adapter_age(const AdapterWants& wants, const PlanInput& input);
--- a/src/core/placement/loadturns.cpp
+++ b/src/core/placement/loadturns.cpp
@@ -28,7 +28,7 @@
 
 Rank other_rank(const PlanInput& input, const std::string& unit) {
   const auto& wants = plan_wants(input, unit);
-  const auto rank = wants_wait(wants, input) ? -wants_turn(wants, input) - 1 : wants_quiet(wants, input.now);
+  const auto rank = wants_wait(wants, input) ? -wants_age(wants, input) - 1 : wants_quiet(wants, input.now);
   return static_cast<double>(rank);
 }
 
--- a/src/core/placement/placing.cpp
+++ b/src/core/placement/placing.cpp
@@ -66,9 +66,6 @@
 void take_paths(PlacingState& state, const PlacingContext& context) {
   if (state.paths_version == context.paths_version) return;
   state.paths_version = context.paths_version;
-  state.urgency_last = 0;
-  for (const auto& route : context.paths->routes)
-    if (route.by_model) state.urgency_last = std::max(state.urgency_last, route.urgency);
   state.align_due = state.unsettled = true;
   placing_touch_all(state);
 }
--- a/src/core/placement/placing.hpp
+++ b/src/core/placement/placing.hpp
@@ -47,8 +47,6 @@
   /// Workers, the configuration or operators' drains have changed since the draft was brought in line with them.
   bool align_due = true;
   std::uint64_t paths_version = 0;
-  /// The largest precedence of the configuration's routes.
-  int urgency_last = least_urgency;
   /// Workers that may hold something else than the committed plan says.
   std::set<std::string> open_work;
   /// Workers of which the view may show something else than is known.
--- a/src/core/placement/plan.hpp
+++ b/src/core/placement/plan.hpp
@@ -52,8 +52,6 @@
   /// The last moment at which the unit was in use.
   std::optional<Moment> last_used = {};
   AskRecord asks = {};
-  /// The most urgent precedence of those who ask and haven't been served.
-  int urgency = least_urgency;
   /// Adapters that somebody has asked for, or asks for still.
   std::map<std::string, AdapterWants> adapters = {};
 };
@@ -110,8 +108,6 @@
   std::size_t places_most = 1000000;
   /// Time in which a worker swaps one adapter for another, as observed; 0 where none was swapped yet.
   Moment adapter_swap = 0;
-  /// The largest precedence that a route has; smaller ones are more urgent.
-  int urgency_last = least_urgency;
 };
 
 /// True while the last change of the count isn't over.
--- a/src/core/placement/wants.cpp
+++ b/src/core/placement/wants.cpp
@@ -120,10 +120,6 @@
                        heard_age(backlog.unserved_age(), now)};
   asks_merge(wants.asks, told, index.bound);
   keep_member(index.unserved, backlog.unit(), wants.asks.unserved_since.has_value());
-  if (!wants.asks.unserved_since)
-    wants.urgency = least_urgency;
-  else if (backlog.urgency() > 0)
-    wants.urgency = std::min(wants.urgency, static_cast<int>(backlog.urgency()) - 1);
   const bool whole = tells_adapters(backlog);
   for (int place = 0; place < backlog.adapters_size(); ++place) {
     auto& adapter = wants.adapters[backlog.adapters(place)];
