--- a/src/core/placement/places.cpp
+++ b/src/core/placement/places.cpp
@@ -134,8 +134,8 @@
 
 bool PlaceSearch::all_stay(Site& site) {
   if (!site.all_stay)
-    site.all_stay = std::ranges::none_of(
-        site.residents, [&](const Resident& resident) { return may_ever_give_way(site, resident); });
+    site.all_stay = std::ranges::none_of(site.residents,
+                                         [&](const Resident& resident) { return may_ever_give_way(site, resident); });
   return *site.all_stay;
 }
 
--- a/src/core/placement/relays.cpp
+++ b/src/core/placement/relays.cpp
@@ -35,7 +35,8 @@
     return std::tuple(entry.disk() != 0, rendezvous_weight(key, entry.node()), entry.node());
   };
   for (const auto* entry : live_members(member_, Program::control))
-    if (entry != holder_ && may_relay(*entry, locality) && (best == nullptr || rank(*entry) > rank(*best))) best = entry;
+    if (entry != holder_ && may_relay(*entry, locality) && (best == nullptr || rank(*entry) > rank(*best)))
+      best = entry;
   return best;
 }
 
--- a/src/core/placement/wants.cpp
+++ b/src/core/placement/wants.cpp
@@ -214,6 +214,7 @@
   auto& told = index.nodes[node];
   if (report_overtaken(report, told.number)) return false;
   if (tells_all(report, told.known)) told.known = report.number();
+  if (!report.partial()) told.complete = true;
   told.number = std::max(told.number, report.number());
   told.heard = now;
   return report.partial() ? take_part(index, node, told, report, now) : take_whole(index, node, told, report, now);
@@ -225,12 +226,13 @@
     for (const auto& backlog : told.backlogs) forget(index, node, backlog);
     told.backlogs.clear();
     told.known = 0;
+    told.complete = false;
   }
 }
 
 bool wants_heard(const WantsIndex& index, std::uint64_t node, Moment now) {
   const auto found = index.nodes.find(node);
-  return found != index.nodes.end() && now - found->second.heard <= index.bound;
+  return found != index.nodes.end() && found->second.complete && now - found->second.heard <= index.bound;
 }
 
 }  // namespace weldsail
--- a/src/core/placement/wants.hpp
+++ b/src/core/placement/wants.hpp
@@ -33,6 +33,8 @@
   std::uint64_t number = 0;
   /// The number up to which all that changed there is known; 0 for none.
   std::uint64_t known = 0;
+  /// It has told of all its units, not of some alone, since it was last forgotten.
+  bool complete = false;
   /// Sorted by unit.
   std::vector<NodeBacklog> backlogs;
 };
@@ -68,7 +70,7 @@
 void wants_expire(WantsIndex& index, Moment now);
 /// Number of the node's newest report with which all that it has told is known; 0 where it has to tell all.
 std::uint64_t wants_known(const WantsIndex& index, std::uint64_t node);
-/// True when the node has reported within the bound.
+/// True when the node has reported within the bound, and all of its units are known.
 bool wants_heard(const WantsIndex& index, std::uint64_t node, Moment now);
 
 }  // namespace weldsail
--- a/src/shell/node.cpp
+++ b/src/shell/node.cpp
@@ -21,11 +21,6 @@
 constexpr Moment farewell = 200;
 /// Longest step of the loop in that time.
 constexpr int write_pause = 10;
-/// Events that have waited for longer than this are told to the log, at this pace.
-constexpr Moment late_events = 1000;
-constexpr Moment late_notes_pace = 5000;
-/// Kinds of event whose cost a note of late events names.
-constexpr std::size_t kinds_noted = 8;
 constexpr std::string_view read_kind = "read";
 constexpr std::string_view write_kind = "write";
 
@@ -172,25 +167,6 @@
   return 0;
 }
 
-template <typename State>
-void Node<State>::note_late(Moment now) {
-  const auto age = queue_.waited(now);
-  if (age < late_events || now < next_late_note_) return;
-  next_late_note_ = now + late_notes_pace;
-  const auto costs = costs_since(std::exchange(costs_noted_, costs_), costs_);
-  TransportFigures figures;
-  messenger_.observe(figures);
-  const auto received = traffic_since(std::exchange(received_noted_, figures.received), figures.received);
-  log_note({"events.late",
-            {{"waited_ms", std::to_string(age)},
-             {"waiting", std::to_string(queue_.waiting_later())},
-             {"dropped", std::to_string(queue_.dropped())},
-             {"replaced", std::to_string(queue_.replaced())},
-             {"costs", costs_text(costs, kinds_noted)},
-             {"received", traffic_text(received, kinds_noted)}},
-            true});
-}
-
 template <typename State>
 void Node<State>::take(const Event& event) {
   const auto* request = std::get_if<RequestArrived>(&event);
@@ -204,22 +180,6 @@
   if (paces_ticks(state_)) next_tick_ = std::max(next_tick_, begun + tick_pause(place_.tick, tick_took_));
 }
 
-template <typename State>
-TransportObserved Node<State>::observe() const {
-  TransportObserved observed;
-  messenger_.observe(observed.figures);
-  callers_.observe(observed.figures);
-  observed.figures.waiting_events = queue_.waiting();
-  observed.figures.waiting_ms = static_cast<std::uint64_t>(queue_.waited(monotonic_now()));
-  observed.figures.events_dropped = queue_.dropped();
-  observed.figures.reports_replaced = queue_.replaced();
-  const auto& waits = queue_.answer_waits();
-  observed.figures.answer_waits.assign(waits.counts.begin(), waits.counts.end());
-  observed.figures.answer_waits_sum = waits.sum;
-  observed.figures.costs = costs_;
-  return observed;
-}
-
 template <typename State>
 void Node<State>::send(const SendMessage& effect) {
   if (effect.address == place_.peers) {
--- /dev/null
+++ b/test/unit/relaychoice.cpp
@@ -0,0 +1,54 @@
+#include <catch2/catch.hpp>
+
+#include "core/consensus/duty.hpp"
+#include "core/placement/relays.hpp"
+#include "core/placement/view.hpp"
+
+using namespace weldsail;
+
+namespace {
+
+constexpr std::uint64_t first_data = 100;
+
+wire::Member entry_of(std::uint64_t node, Program program, const std::string& locality) {
+  wire::Member entry;
+  entry.set_node(node);
+  entry.set_address("n" + std::to_string(node));
+  entry.set_state(static_cast<std::uint32_t>(MemberPhase::alive));
+  entry.set_program(static_cast<std::uint32_t>(program));
+  entry.set_locality(locality);
+  entry.set_release(wire_release);
+  return entry;
+}
+
+/// The holder of the placement in locality a, a control process in b, and enough data nodes in both for relays.
+MemberState holder_with_data_nodes() {
+  MemberState member;
+  member.self = entry_of(1, Program::control, "a");
+  member.self.add_holdings()->set_key(placement_key);
+  member.self.mutable_holdings(0)->set_epoch(4097);
+  member.others[2] = {entry_of(2, Program::control, "b"), 0, 0};
+  for (auto node = first_data; node < first_data + 120; ++node)
+    member.others[node] = {entry_of(node, Program::data, node % 2 == 0 ? "a" : "b"), 0, 0};
+  return member;
+}
+
+}  // namespace
+
+TEST_CASE("the data nodes of the holder's locality have a relay, too, where another control process is there",
+          "[placing]") {
+  auto member = holder_with_data_nodes();
+  CHECK(Relays(member).of("a") == nullptr);
+  CHECK(Relays(member).of("b")->node() == 2);
+  member.others[3] = {entry_of(3, Program::control, "a"), 0, 0};
+  Relays both(member);
+  REQUIRE(both.of("a") != nullptr);
+  CHECK(both.of("a")->node() == 3);
+  FleetKeeper keeper;
+  fleet_begin(keeper, 7);
+  wire::WorkerEntry worker;
+  worker.set_identity("w");
+  Effects effects;
+  fleet_set(keeper, {worker}, 1000, member, 1000, effects);
+  CHECK(effects.size() == 2);
+}
--- a/test/unit/reportdeltas.cpp
+++ b/test/unit/reportdeltas.cpp
@@ -127,6 +127,23 @@
   CHECK(wants_known(pair.wants, data_node) == known);
 }
 
+TEST_CASE("a holder that lacks a node's whole report doesn't take a part of it for what its callers ask for",
+          "[reports]") {
+  ReportPair pair;
+  pair.run_one();
+  pair.take(pair.answer(1));
+  CHECK(wants_heard(pair.wants, data_node, pair.bench.now));
+  // The same process holds the placement again, and the node doesn't know that it has forgotten all.
+  pair.wants = {};
+  pair.bench.now += 1000;
+  const auto part = pair.report(0);
+  REQUIRE(part.partial());
+  wants_take(pair.wants, data_node, part, pair.bench.now);
+  CHECK_FALSE(wants_heard(pair.wants, data_node, pair.bench.now));
+  pair.take(pair.answer(2));
+  CHECK(wants_heard(pair.wants, data_node, pair.bench.now));
+}
+
 TEST_CASE("the holder counts each request once and knows what runs, whatever reports are lost", "[reports]") {
   const auto seed = GENERATE(range(1, 31));
   CAPTURE(seed);
