--- a/test/unit/reportdeltas.cpp
+++ b/test/unit/reportdeltas.cpp
@@ -132,6 +132,7 @@
   ReportPair pair;
   pair.run_one();
   pair.take(pair.answer(1));
+  pair.take(pair.answer(2));
   CHECK(wants_heard(pair.wants, data_node, pair.bench.now));
   // The same process holds the placement again, and the node doesn't know that it has forgotten all.
   pair.wants = {};
@@ -140,7 +141,7 @@
   REQUIRE(part.partial());
   wants_take(pair.wants, data_node, part, pair.bench.now);
   CHECK_FALSE(wants_heard(pair.wants, data_node, pair.bench.now));
-  pair.take(pair.answer(2));
+  pair.take(pair.answer(3));
   CHECK(wants_heard(pair.wants, data_node, pair.bench.now));
 }
 
