The tests of relays share how a member is made

relay.cpp and relaychoice.cpp had the same function; it stands in unit/memberentry.hpp. Assertions are as they were.

--- a/test/unit/relay.cpp
+++ b/test/unit/relay.cpp
@@ -4,8 +4,10 @@
 
 #include "core/consensus/duty.hpp"
 #include "platform/fleet.hpp"
+#include "unit/memberentry.hpp"
 
 using namespace weldsail;
+using namespace weldsail::unit;
 
 namespace {
 
@@ -22,17 +24,6 @@
   return dialect;
 }
 
-wire::Member entry_of(std::uint64_t node, Program program, const std::string& locality) {
-  wire::Member entry;
-  entry.set_node(node);
-  entry.set_address("n" + std::to_string(node));
-  entry.set_state(static_cast<std::uint32_t>(MemberPhase::alive));
-  entry.set_program(static_cast<std::uint32_t>(program));
-  entry.set_locality(locality);
-  entry.set_release(wire_release);
-  return entry;
-}
-
 wire::WorkerEntry worker(const std::string& identity) {
   wire::WorkerEntry entry;
   entry.set_identity(identity);
--- a/test/unit/relaychoice.cpp
+++ b/test/unit/relaychoice.cpp
@@ -3,24 +3,15 @@
 #include "core/consensus/duty.hpp"
 #include "core/placement/relays.hpp"
 #include "core/placement/view.hpp"
+#include "unit/memberentry.hpp"
 
 using namespace weldsail;
+using namespace weldsail::unit;
 
 namespace {
 
 constexpr std::uint64_t first_data = 100;
 
-wire::Member entry_of(std::uint64_t node, Program program, const std::string& locality) {
-  wire::Member entry;
-  entry.set_node(node);
-  entry.set_address("n" + std::to_string(node));
-  entry.set_state(static_cast<std::uint32_t>(MemberPhase::alive));
-  entry.set_program(static_cast<std::uint32_t>(program));
-  entry.set_locality(locality);
-  entry.set_release(wire_release);
-  return entry;
-}
-
 /// The holder of the placement in locality a, a control process in b, and enough data nodes in both for relays.
 MemberState holder_with_data_nodes() {
   MemberState member;
