--- a/review/4/case.py
+++ b/review/4/case.py
@@ -39,6 +39,17 @@
     return sum(item.lost() for item in tries)
 
 
+def await_runs(workers, tries):
+    """Waits until all tries are at work, so that they were taken under the configuration in force."""
+    until = time.monotonic() + 1
+    while time.monotonic() < until:
+        at_work = {trial for worker in workers for trial, _ in list(worker.runs)}
+        if all(item.trial in at_work for item in tries):
+            return
+        time.sleep(0.005)
+    raise CannotRun("not all tries are at work")
+
+
 def main(record):
     fleet = Fleet(record)
     try:
@@ -56,7 +67,7 @@
         if any(item.status != 200 for item in before):
             raise CannotRun("not all is served in calm")
         beside = send(fleet, record, "beside", 3)
-        time.sleep(0.2)
+        await_runs(former, beside)
         if TROUBLE:
             # The route moves to another service, and the one that it leaves isn't needed any more.
             if replace(fleet, document(2, "wuno96b", ["wuno96b"]), 1) != 200:
@@ -75,8 +86,8 @@
     trace = Record(FOLDER)
     try:
         STATUS = main(trace)
-    except CannotRun as problem:
-        trace.write(f"can't run: {problem}")
+    except Exception as problem:  # What isn't foreseen is no verdict.
+        trace.write(f"can't run: {type(problem).__name__}: {problem}")
         STATUS = 2
     trace.write(f"exit {STATUS}")
     sys.exit(STATUS)
--- a/review/common2/fleet.py
+++ b/review/common2/fleet.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -156,6 +157,8 @@
     """The processes of a deployment: `cores` machines with a disk, `fronts` machines without."""
 
     def __init__(self, record, cores=3, fronts=2):
+        # A script that is told to end ends its processes first: `main` stops the fleet on its way out.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="weldsail-review-")
         self.network = free_network()
