--- a/src/core/forwarding/paths/call.cpp
+++ b/src/core/forwarding/paths/call.cpp
@@ -49,6 +49,10 @@
       std::ranges::count_if(carry.tries, [](const PathTry& item) { return item.phase != TryPhase::unsent; }));
 }
 
+bool carry_left(const PathCarry& carry) {
+  return std::ranges::any_of(carry.tries, [](const PathTry& item) { return item.phase == TryPhase::left; });
+}
+
 std::size_t carry_workers(const PathCarry& carry) {
   std::set<std::string_view> workers;
   for (const auto& item : carry.tries)
@@ -61,6 +65,7 @@
   const auto last = std::find_if(carry.tries.rbegin(), carry.tries.rend(), same_worker);
   if (last == carry.tries.rend())
     return carry_workers(carry) < std::max<std::size_t>(1, carry.route.tries) ? MayAsk::now : MayAsk::never;
+  if (last->phase == TryPhase::left) return MayAsk::now;
   if (!carry.answer_begun || last->phase != TryPhase::not_run) return MayAsk::never;
   return now - last->ended < pause ? MayAsk::later : MayAsk::now;
 }
--- a/src/core/forwarding/paths/call.hpp
+++ b/src/core/forwarding/paths/call.hpp
@@ -12,8 +12,24 @@
 
 namespace weldsail {
 
-/// Where one try at a worker stands.
-enum class TryPhase { open, not_run, unsent, broken, failed, whole };
+/// Where one try at a worker stands. A silent one is still open, beside a later try at another worker. One that was
+/// left was ended by this node's choice, not by a fault of its worker.
+enum class TryPhase { open, silent, left, not_run, unsent, broken, failed, whole };
+
+/// Reads a stream's events as far as passing them on needs it.
+struct EventReader {
+  std::string buffer;
+  std::optional<std::uint64_t> last;
+  bool disordered = false;
+};
+
+/// What a worker has answered so far.
+struct PartialAnswer {
+  int status = 0;
+  RunHead head;
+  std::string body;
+  EventReader reader;
+};
 
 /// One try to have a worker run a request.
 struct PathTry {
@@ -28,13 +44,8 @@
   /// When its first event came.
   Moment first_event = 0;
   std::uint64_t events = 0;
-};
-
-/// Reads a stream's events as far as passing them on needs it.
-struct EventReader {
-  std::string buffer;
-  std::optional<std::uint64_t> last;
-  bool disordered = false;
+  /// Of a silent try, to go on from there.
+  std::optional<PartialAnswer> partial = std::nullopt;
 };
 
 /// A caller's request by host and path, in this node.
@@ -132,7 +143,7 @@
   std::uint64_t counters = 0;
 };
 
-/// True while a try is open.
+/// True while the last try is open.
 bool carry_open(const PathCarry& carry);
 /// True when some try may have run.
 bool carry_may_have_run(const PathCarry& carry);
@@ -140,10 +151,13 @@
 std::size_t carry_sent(const PathCarry& carry);
 /// Distinct workers that the request was sent to, or may have been: what the route's `tries` bounds.
 std::size_t carry_workers(const PathCarry& carry);
+/// True when a try was left: the request may go to that worker again.
+bool carry_left(const PathCarry& carry);
 /// Whether a request may go to a worker: now, later (it turned the request away a moment ago), or never.
 enum class MayAsk { now, later, never };
-/// A worker that it never went to counts against the route's tries. An answer that has begun can't be refused any
-/// more, so it may go again to a worker that turned it away without running it, `pause` ms after that.
+/// A worker that it never went to counts against the route's tries. It may go again to a worker that it left. An answer
+/// that has begun can't be refused any more, so it may go again to a worker that turned it away without running it,
+/// `pause` ms after that.
 MayAsk carry_may_ask(const PathCarry& carry, const std::string& worker, Moment pause, Moment now);
 /// True when the request may run more than once.
 bool carry_repeatable(const PathCarry& carry);
--- a/src/core/forwarding/paths/finish.cpp
+++ b/src/core/forwarding/paths/finish.cpp
@@ -22,11 +22,8 @@
   state.path.carries.erase(carry.request);
 }
 
-// These say that a request has not run and never will: only who knows that may say so.
-bool promises(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
-
 void pass_on(PathCarry& carry, Effects& effects) {
-  if (promises(carry.status)) {
+  if (path_promises(carry.status)) {
     effects.push_back(Answer{carry.request, 502, {}, {}});
     return;
   }
@@ -35,6 +32,8 @@
 
 }  // namespace
 
+bool path_promises(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
+
 Header path_retry_after(Moment wait) {
   return {"retry-after", std::to_string(wait / 1000) + "." + std::to_string(1000 + wait % 1000).substr(1)};
 }
--- a/src/core/forwarding/paths/leave.cpp
+++ b/src/core/forwarding/paths/leave.cpp
@@ -60,7 +60,7 @@
 void break_off(DataState& state, Moment now, Effects& effects) {
   while (!state.path.carries.empty()) {
     auto& carry = state.path.carries.begin()->second;
-    path_cancel_try(state, carry, TryPhase::failed, "leaving", now, effects);
+    path_cancel_all(state, carry, "leaving", now, effects);
     if (carry_may_have_run(carry) || carry.answer_begun) {
       ++state.path.leaving.cut;
       note_cut(state, carry, now, effects);
--- a/src/core/forwarding/paths/move.cpp
+++ b/src/core/forwarding/paths/move.cpp
@@ -74,13 +74,18 @@
   return lack == Lack::adapter ? RequestPhase::adapter : RequestPhase::worker;
 }
 
-void open_try(DataState& state, PathCarry& carry, const wire::WorkerEntry& worker, Moment now, Effects& effects) {
+}  // namespace
+
+void path_open_try(DataState& state, PathCarry& carry, const wire::WorkerEntry& worker, Moment now, Effects& effects) {
   auto& path = state.path;
   const auto pipe = state.numbers.take();
   if (!carry.answer_begun) phase_enter(carry.phases, RequestPhase::first_event, now);
   if (carry_sent(carry) > 0) budget_repeat(path.budgets[carry.service], now);
   auto& track = path.tracks[worker.identity()];
-  PathTry item{worker.identity(), pipe, TryPhase::open, now, 0, now, 0, false, 0, 0};
+  PathTry item;
+  item.worker = worker.identity();
+  item.pipe = pipe;
+  item.begun = item.last_bytes = now;
   if (!carry.unit.empty()) {
     item.missed_tokens = parts_missed(track.parts, carry.call, carry.chain);
     parts_remember(track.parts, carry.chain);
@@ -114,8 +119,6 @@
   effects.push_back(std::move(open));
 }
 
-}  // namespace
-
 void path_move(DataState& state, std::uint64_t request, Moment now, Effects& effects) {
   const auto found = state.path.carries.find(request);
   if (found == state.path.carries.end()) return;
@@ -133,7 +136,7 @@
   if (may_have_run && !carry_repeatable(carry)) return give_up("unknown");
   const auto sent = carry_sent(carry);
   const bool no_tries = carry_workers(carry) >= std::max<std::size_t>(1, carry.route.tries);
-  if (no_tries && !carry.answer_begun) return give_up("tries");
+  if (no_tries && !carry.answer_begun && !carry_left(carry)) return give_up("tries");
   if (carry.tries.size() - sent >= unsent_most) return give_up("unreachable");
   // A begun answer can't be refused any more: it waits for what may change in time.
   const auto wait_or_give_up = [&](const char* reason) {
@@ -154,7 +157,7 @@
   }
   const auto choice = path_choose(state, carry, now);
   state.path.considered += choice.considered;
-  if (choice.worker != nullptr) return open_try(state, carry, *choice.worker, now, effects);
+  if (choice.worker != nullptr) return path_open_try(state, carry, *choice.worker, now, effects);
   if (no_tries && !choice.later) return give_up("tries");
   const bool ends_soon =
       state.leave_due != 0 && now >= state.leave_due - state.options.member.bound / leave_answers_per_bound;
@@ -174,13 +177,19 @@
   for (const auto& [urgency, arrived, request] : order) path_move(state, request, now, effects);
 }
 
-void path_end_try(DataState& state, PathCarry& carry, TryPhase phase, const std::string& reason, Moment now,
-                  Effects& effects) {
-  if (!carry_open(carry)) return;
+void path_avoid(DataState& state, const std::string& worker, Moment now) {
+  const auto bound = state.options.member.bound;
+  auto& track = state.path.tracks[worker];
+  track.avoid_for = std::clamp(track.avoid_for * 2, bound / 6, bound);
+  track.avoid_until = now + track.avoid_for;
+}
+
+void path_end_run(DataState& state, const PathCarry& carry, PathTry& item, TryPhase phase, const std::string& reason,
+                  Moment now, Effects& effects) {
   auto& path = state.path;
-  auto& item = carry.tries.back();
   item.phase = phase;
   item.ended = now;
+  item.partial.reset();
   path.pipes.erase(item.pipe);
   auto& track = path.tracks[item.worker];
   if (track.open > 0) --track.open;
@@ -192,11 +201,7 @@
     if (!carry.call.adapter.empty()) count_change(use.adapters[carry.call.adapter].running, false);
   }
   if (phase == TryPhase::whole) track.avoid_for = 0;
-  if (phase == TryPhase::unsent || phase == TryPhase::broken) {
-    const auto bound = state.options.member.bound;
-    track.avoid_for = std::clamp(track.avoid_for * 2, bound / 6, bound);
-    track.avoid_until = now + track.avoid_for;
-  }
+  if (phase == TryPhase::unsent || phase == TryPhase::broken) path_avoid(state, item.worker, now);
   if (phase != TryPhase::whole) {
     ++state.totals.breakdowns[reason];
     note(effects, "attempt.breakdown",
@@ -207,6 +212,11 @@
   }
 }
 
+void path_end_try(DataState& state, PathCarry& carry, TryPhase phase, const std::string& reason, Moment now,
+                  Effects& effects) {
+  if (carry_open(carry)) path_end_run(state, carry, carry.tries.back(), phase, reason, now, effects);
+}
+
 void path_cancel_try(DataState& state, PathCarry& carry, TryPhase phase, const std::string& reason, Moment now,
                      Effects& effects) {
   if (!carry_open(carry)) return;
@@ -220,7 +230,7 @@
   if (found == state.path.carries.end()) return;
   auto& carry = found->second;
   set_waits(state, carry, false);
-  path_cancel_try(state, carry, TryPhase::failed, "caller_gone", now, effects);
+  path_cancel_all(state, carry, "caller_gone", now, effects);
   ++state.totals.gone;
   losses_count(state, carry, RequestOutcome::caller_gone, now);
   state.path.carries.erase(found);
--- a/src/core/forwarding/paths/path.hpp
+++ b/src/core/forwarding/paths/path.hpp
@@ -50,6 +50,25 @@
 };
 /// The worker with the least expected time to the first byte, or what is lacking.
 Choice path_choose(const DataState& state, const PathCarry& carry, Moment now);
+/// Opens a try at a worker.
+void path_open_try(DataState& state, PathCarry& carry, const wire::WorkerEntry& worker, Moment now, Effects& effects);
+/// Offers requests whose workers have been silent for long to other workers. What they have is kept until another
+/// worker goes on with the answer: a silent worker may be sound.
+void path_offer_silent(DataState& state, Moment now, Effects& effects);
+/// Takes an event of a silent try. True when the event is to be taken on as one of the open try, as its worker speaks
+/// again; later tries are left.
+bool path_silent_speaks(DataState& state, PathCarry& carry, std::uint64_t pipe, const Event& event, Moment now,
+                        Effects& effects);
+/// After an event of the last try: silent ones are left once it goes on with the answer, and the last of them is the
+/// open one again where it has ended without that.
+void path_settle_offer(DataState& state, PathCarry& carry, Moment now, Effects& effects);
+/// Sends fewer requests to a worker for a while, longer each time.
+void path_avoid(DataState& state, const std::string& worker, Moment now);
+/// True when an answer's status says that the request has not run and never will: only who knows that may say so.
+bool path_promises(int status);
+/// Ends one try of a request.
+void path_end_run(DataState& state, const PathCarry& carry, PathTry& item, TryPhase phase, const std::string& reason,
+                  Moment now, Effects& effects);
 /// Ends the open try.
 void path_end_try(DataState& state, PathCarry& carry, TryPhase phase, const std::string& reason, Moment now,
                   Effects& effects);
@@ -60,6 +79,8 @@
 /// Closes the connection of the open try, if there is one, and ends the try.
 void path_cancel_try(DataState& state, PathCarry& carry, TryPhase phase, const std::string& reason, Moment now,
                      Effects& effects);
+/// Closes the connections of all tries that are open or silent, and ends these.
+void path_cancel_all(DataState& state, PathCarry& carry, const std::string& reason, Moment now, Effects& effects);
 /// Gives the final answer and drops the request.
 void path_finish(DataState& state, PathCarry& carry, Moment now, Effects& effects);
 /// Refuses a request that has not run.
--- a/src/core/forwarding/paths/pipe.cpp
+++ b/src/core/forwarding/paths/pipe.cpp
@@ -88,7 +88,12 @@
 }
 
 /// Bytes of an answer that wait for its end, or for the end of an event.
-std::size_t held_answer(const PathCarry& carry) { return carry.answer.size() + carry.reader.buffer.size(); }
+std::size_t held_answer(const PathCarry& carry) {
+  auto size = carry.answer.size() + carry.reader.buffer.size();
+  for (const auto& item : carry.tries)
+    if (item.partial) size += item.partial->body.size() + item.partial->reader.buffer.size();
+  return size;
+}
 
 /// True when what is held of answers takes too much memory: of this one, or of all of them where this one is long.
 bool holds_too_much(const DataState& state, const PathCarry& carry) {
@@ -173,9 +178,11 @@
   const auto found = pipe ? state.path.pipes.find(*pipe) : state.path.pipes.end();
   if (found == state.path.pipes.end()) return;
   auto& carry = state.path.carries.at(found->second);
+  if (carry.tries.back().pipe != *pipe && !path_silent_speaks(state, carry, *pipe, event, now, effects)) return;
   if (const auto* head = std::get_if<PipeHead>(&event)) take_head(state, carry, *head, now, effects);
   if (const auto* bytes = std::get_if<PipeBytes>(&event)) take_bytes(state, carry, *bytes, now, effects);
   if (const auto* ended = std::get_if<PipeEnded>(&event)) take_end(state, carry, *ended, now, effects);
+  path_settle_offer(state, carry, now, effects);
   if (carry_open(carry)) return;
   path_move(state, carry.request, now, effects);
 }
--- a/src/core/forwarding/paths/watch.cpp
+++ b/src/core/forwarding/paths/watch.cpp
@@ -6,46 +6,19 @@
 namespace {
 
 constexpr Moment watches_per_bound = 60;
-constexpr Moment silence_bounds_part = 3;
 // Without a view for this share of the bound a node asks the platform's list itself.
 constexpr double view_share = 0.6;
 // Part of the platform's rate of calls that all data nodes together may use.
 constexpr double list_share = 0.5;
 constexpr Moment track_kept_bounds = 20;
 
-// A stream that may be resumed goes on elsewhere when its worker has been silent to all of this node's requests.
-void leave_silent(DataState& state, Moment now, Effects& effects) {
-  std::vector<std::uint64_t> silent;
-  const auto limit = state.options.member.bound / silence_bounds_part;
-  for (const auto& [pipe, request] : state.path.pipes) {
-    const auto& carry = state.path.carries.at(request);
-    const auto& item = carry.tries.back();
-    if (!carry_repeatable(carry) || carry_sent(carry) >= carry.route.tries) continue;
-    const auto& track = state.path.tracks[item.worker];
-    const auto quiet = now - std::max({item.last_bytes, item.begun, track.last_bytes});
-    const auto patience =
-        carry.route.mode == PathMode::stream ? limit : std::max<Moment>(limit / 2, 3 * carry.route.aim);
-    if (quiet > patience) silent.push_back(request);
-  }
-  for (const auto request : silent) {
-    const auto found = state.path.carries.find(request);
-    if (found == state.path.carries.end() || !carry_open(found->second)) continue;
-    auto& carry = found->second;
-    const auto nodes = path_nodes(state);
-    if (!budget_allows(state.path.budgets[carry.service], state.options.limits, nodes, now)) continue;
-    if (!path_will_finish(state, carry, now) || path_choose(state, carry, now).worker == nullptr) continue;
-    path_cancel_try(state, carry, TryPhase::broken, "worker_silent", now, effects);
-    path_move(state, request, now, effects);
-  }
-}
-
 void end_late(DataState& state, Moment now, Effects& effects) {
   std::vector<std::uint64_t> late;
   for (const auto& [request, carry] : state.path.carries)
     if (now >= carry.due) late.push_back(request);
   for (const auto request : late) {
     auto& carry = state.path.carries.at(request);
-    path_cancel_try(state, carry, TryPhase::failed, "past_due", now, effects);
+    path_cancel_all(state, carry, "past_due", now, effects);
     path_move(state, request, now, effects);
   }
 }
@@ -89,7 +62,7 @@
   if (now < state.path.next_watch) return;
   state.path.next_watch = now + state.options.member.bound / watches_per_bound;
   end_late(state, now, effects);
-  leave_silent(state, now, effects);
+  path_offer_silent(state, now, effects);
   path_dispatch(state, now, effects);
   if (!state.path.early.empty()) path_early(state, now, effects);
   use_list(state, now, effects);
